--- /dev/null
+++ b/support/program-tests.cmake
@@ -0,0 +1,1 @@
+# Tests that run the built programs as a user would.
