--- /dev/null
+++ b/include/fulmarpitch/net/http.h
@@ -0,0 +1,157 @@
+#pragma once
+
+/// \file
+/// HTTP/1.1 server and client over Beast, without its headers.
+
+#include <absl/status/status.h>
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "fulmarpitch/core/types.h"
+#include "fulmarpitch/net/event-loop.h"
+
+namespace fulmar {
+
+struct http_header {
+  std::string name;
+  std::string value;
+};
+
+struct http_request {
+  std::string method = "GET";
+  /// Path and query.
+  std::string target = "/";
+  std::vector<http_header> headers;
+  std::string body;
+};
+
+struct http_response {
+  int status = 200;
+  std::vector<http_header> headers;
+  std::string body;
+};
+
+/// Finds a header; names compare without case.
+/// \param headers the headers to search.
+/// \param name the header's name.
+/// \return its value, or an empty text.
+std::string_view find_header(const std::vector<http_header>& headers,
+                             std::string_view name);
+
+/// One request that a server received, and the answer to it. Every call is
+/// safe after the client has gone; it then does nothing.
+class http_exchange {
+ public:
+  virtual ~http_exchange() = default;
+
+  virtual const http_request& request() const = 0;
+
+  /// Answers at once. Ends the exchange.
+  virtual void respond(http_response response) = 0;
+
+  /// Sends the head of an answer whose body follows in pieces.
+  virtual void start_stream(http_response head) = 0;
+  virtual void write(std::string piece) = 0;
+  /// Ends the streamed body and the exchange.
+  virtual void finish() = 0;
+  /// Bytes handed to `write` that the client has not taken yet.
+  virtual std::size_t unsent_bytes() const = 0;
+
+  /// Runs a function once if the client goes before the exchange ends.
+  virtual void on_closed(std::function<void()> work) = 0;
+
+  /// Asks for the next piece of a streamed request body. An empty piece is the
+  /// end; an error means that the client went or sent a bad body.
+  virtual void read_body(
+      std::function<void(absl::StatusOr<std::string>)> take) = 0;
+};
+
+struct http_server_options {
+  std::string host = "127.0.0.1";
+  /// 0 lets the system choose.
+  std::uint16_t port = 0;
+  std::size_t max_body_bytes = std::size_t{4} * 1024 * 1024;
+  std::uint32_t max_header_bytes = 16 * 1024;
+  std::size_t max_connections = 4096;
+  /// A client slower than this to send a head or take a piece is cut off.
+  instant client_timeout = std::chrono::seconds(30);
+};
+
+/// Listens and hands requests to a function.
+class http_server {
+ public:
+  struct impl;
+  using handler = std::function<void(std::shared_ptr<http_exchange>)>;
+  /// Tells whether a request's body is read in pieces with `read_body`.
+  using streams_body = std::function<bool(const http_request& head)>;
+
+  /// \param loop the loop to run on.
+  /// \param options address and limits.
+  /// \param take receives every request.
+  /// \param streams picks requests with streamed bodies; none when empty.
+  http_server(event_loop& loop, http_server_options options, handler take,
+              streams_body streams = {});
+  ~http_server();
+  http_server(const http_server&) = delete;
+  http_server& operator=(const http_server&) = delete;
+
+  /// Binds and starts to accept.
+  /// \return an error when the address can't be bound.
+  absl::Status start();
+  std::uint16_t port() const;
+
+  /// Stops accepting; open exchanges go on.
+  void stop_accepting();
+
+ private:
+  std::shared_ptr<impl> impl_;
+};
+
+struct http_call_options {
+  /// Host and port.
+  std::string address;
+  http_request request;
+  instant connect_timeout = std::chrono::seconds(1);
+  /// Longest silence, from the request on.
+  instant idle_timeout = std::chrono::seconds(30);
+};
+
+/// Receives an answer as it arrives. `on_end` runs exactly once, last.
+struct http_call_handlers {
+  std::function<void(const http_response& head)> on_head;
+  std::function<void(std::string_view piece)> on_data;
+  /// The outcome in the status is `not_run` only when no byte was sent.
+  std::function<void(absl::Status)> on_end;
+};
+
+/// A call that can be cancelled.
+class http_call {
+ public:
+  virtual ~http_call() = default;
+  /// Closes the connection. `on_end` runs with `cancelled` unless it ran.
+  virtual void cancel() = 0;
+};
+
+/// Starts a call on a connection of its own.
+/// \param loop the loop to run on.
+/// \param options where and what.
+/// \param handlers receive the answer.
+/// \return the running call.
+std::shared_ptr<http_call> start_call(event_loop& loop,
+                                      http_call_options options,
+                                      http_call_handlers handlers);
+
+/// Makes a call and gathers the whole answer.
+/// \param loop the loop to run on.
+/// \param options where and what.
+/// \param take receives the answer or the failure.
+void fetch(event_loop& loop, http_call_options options,
+           std::function<void(absl::StatusOr<http_response>)> take);
+
+}  // namespace fulmar
--- /dev/null
+++ b/src/net/http-server.cc
@@ -0,0 +1,442 @@
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <deque>
+
+#include "event-loop-impl.h"
+#include "fulmarpitch/core/errors.h"
+#include "fulmarpitch/core/text.h"
+#include "fulmarpitch/net/http.h"
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+namespace fulmar {
+namespace {
+
+constexpr std::size_t piece_bytes = 65'536;
+/// A client that lets more than this pile up is cut off.
+constexpr std::size_t max_unsent_bytes = std::size_t{16} * 1024 * 1024;
+
+using head_parser = http::request_parser<http::empty_body>;
+using text_parser = http::request_parser<http::string_body>;
+using piece_parser = http::request_parser<http::buffer_body>;
+
+http_request read_head(const http::request<http::empty_body>& from) {
+  auto out = http_request{.method = std::string(from.method_string()),
+                          .target = std::string(from.target())};
+  for (const auto& it : from) {
+    out.headers.push_back(
+        {std::string(it.name_string()), std::string(it.value())});
+  }
+  return out;
+}
+
+std::string head_text(const http_response& from, bool chunked,
+                      bool keep_alive) {
+  auto head = http::response<http::empty_body>();
+  head.version(11);
+  head.result(static_cast<unsigned>(from.status));
+  for (const auto& it : from.headers)
+    head.set(it.name, it.value);
+  head.keep_alive(keep_alive);
+  if (chunked) {
+    head.chunked(true);
+  } else {
+    head.content_length(from.body.size());
+  }
+  auto out = std::ostringstream();
+  out << head.base();
+  return out.str();
+}
+
+std::string chunk_text(const std::string& piece) {
+  auto out = std::ostringstream();
+  out << std::hex << piece.size() << "\r\n" << piece << "\r\n";
+  return out.str();
+}
+
+bool is_bad_input(const boost::system::error_code& ec) {
+  const auto& parser_errors =
+      make_error_code(http::error::bad_method).category();
+  return ec.category() == parser_errors && ec != http::error::end_of_stream &&
+         ec != http::error::partial_message;
+}
+
+}  // namespace
+
+struct http_server::impl : std::enable_shared_from_this<http_server::impl> {
+  impl(event_loop& event_loop, http_server_options server_options,
+       handler handle, streams_body body_streams)
+      : loop(event_loop),
+        acceptor(loop.native().io),
+        options(std::move(server_options)),
+        take(std::move(handle)),
+        streams(std::move(body_streams)) {}
+
+  event_loop& loop;
+  tcp::acceptor acceptor;
+  http_server_options options;
+  handler take;
+  streams_body streams;
+  std::size_t connections = 0;
+};
+
+namespace {
+
+class session : public std::enable_shared_from_this<session> {
+ public:
+  session(tcp::socket socket, std::shared_ptr<http_server::impl> server);
+  ~session() { --server_->connections; }
+  void start();
+
+ private:
+  friend class exchange;
+  asio::awaitable<void> run();
+  asio::awaitable<bool> serve_one();
+  asio::awaitable<void> send_all();
+  void enqueue(std::string bytes);
+  void refuse(error_code code, std::string_view message);
+  void watch_for_close();
+  void close();
+
+  beast::tcp_stream stream_;
+  std::shared_ptr<http_server::impl> server_;
+  beast::flat_buffer buf_;
+  std::deque<std::string> outbox_;
+  std::size_t unsent_ = 0;
+  bool sending_ = false;
+  bool closed_ = false;
+  std::shared_ptr<class exchange> current_;
+  asio::steady_timer ended_;
+};
+
+class exchange : public http_exchange,
+                 public std::enable_shared_from_this<exchange> {
+ public:
+  exchange(std::shared_ptr<session> owner, http_request request,
+           bool keep_alive)
+      : owner_(std::move(owner)),
+        request_(std::move(request)),
+        keep_alive_(keep_alive) {}
+
+  const http_request& request() const override { return request_; }
+
+  void respond(http_response response) override {
+    if (done_) return;
+    owner_->enqueue(head_text(response, false, keep_alive_) + response.body);
+    end();
+  }
+
+  void start_stream(http_response head) override {
+    if (done_ || streaming_) return;
+    streaming_ = true;
+    owner_->enqueue(head_text(head, true, keep_alive_));
+  }
+
+  void write(std::string piece) override {
+    if (done_ || !streaming_ || piece.empty()) return;
+    owner_->enqueue(chunk_text(piece));
+  }
+
+  void finish() override {
+    if (done_ || !streaming_) return;
+    owner_->enqueue("0\r\n\r\n");
+    end();
+  }
+
+  std::size_t unsent_bytes() const override { return owner_->unsent_; }
+
+  void on_closed(std::function<void()> work) override {
+    closed_ = std::move(work);
+    if (owner_->closed_) notify_closed();
+  }
+
+  void read_body(
+      std::function<void(absl::StatusOr<std::string>)> take) override {
+    if (!parser_) {
+      take(std::string());
+      return;
+    }
+    asio::co_spawn(owner_->stream_.get_executor(), read_piece(std::move(take)),
+                   asio::detached);
+  }
+
+  void notify_closed() {
+    if (done_) return;
+    done_ = true;
+    if (auto work = std::move(closed_)) work();
+    owner_->ended_.cancel();
+  }
+
+  bool done() const { return done_; }
+  bool keep_alive() const {
+    return keep_alive_ && (!parser_ || parser_->is_done());
+  }
+  void set_parser(std::unique_ptr<piece_parser> parser) {
+    parser_ = std::move(parser);
+  }
+
+ private:
+  asio::awaitable<void> read_piece(
+      std::function<void(absl::StatusOr<std::string>)> take) {
+    auto self = shared_from_this();
+    auto owner = owner_;
+    auto piece = std::string(piece_bytes, '\0');
+    auto ec = boost::system::error_code();
+    while (!parser_->is_done()) {
+      parser_->get().body().data = piece.data();
+      parser_->get().body().size = piece.size();
+      owner->stream_.expires_after(owner->server_->options.client_timeout);
+      co_await http::async_read_some(
+          owner->stream_, owner->buf_, *parser_,
+          asio::redirect_error(asio::use_awaitable, ec));
+      if (ec && ec != http::error::need_buffer) {
+        take(make_error(error_code::bad_request,
+                        concat("request body: ", ec.message())));
+        owner->close();
+        co_return;
+      }
+      auto n = piece.size() - parser_->get().body().size;
+      if (n == 0) continue;
+      piece.resize(n);
+      take(std::move(piece));
+      co_return;
+    }
+    take(std::string());
+  }
+
+  void end() {
+    done_ = true;
+    closed_ = nullptr;
+    owner_->ended_.cancel();
+  }
+
+  std::shared_ptr<session> owner_;
+  http_request request_;
+  bool keep_alive_ = false;
+  bool streaming_ = false;
+  bool done_ = false;
+  std::function<void()> closed_;
+  std::unique_ptr<piece_parser> parser_;
+};
+
+session::session(tcp::socket socket, std::shared_ptr<http_server::impl> server)
+    : stream_(std::move(socket)),
+      server_(std::move(server)),
+      ended_(stream_.get_executor()) {
+  ++server_->connections;
+}
+
+void session::start() {
+  asio::co_spawn(
+      stream_.get_executor(),
+      [self = shared_from_this()] { return self->run(); }, asio::detached);
+}
+
+asio::awaitable<void> session::run() {
+  auto ec = boost::system::error_code();
+  stream_.socket().set_option(tcp::no_delay(true), ec);
+  while (!closed_) {
+    if (!co_await serve_one()) break;
+  }
+  while (sending_ && !closed_) {
+    ended_.expires_after(std::chrono::milliseconds(10));
+    co_await ended_.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+  }
+  close();
+}
+
+asio::awaitable<bool> session::serve_one() {
+  auto ec = boost::system::error_code();
+  auto token = asio::redirect_error(asio::use_awaitable, ec);
+  auto head = head_parser();
+  head.header_limit(server_->options.max_header_bytes);
+  head.body_limit(boost::none);
+  stream_.expires_after(server_->options.client_timeout);
+  co_await http::async_read_header(stream_, buf_, head, token);
+  if (ec) {
+    if (ec == http::error::header_limit) {
+      refuse(error_code::too_large, "the request head is too large");
+    } else if (is_bad_input(ec)) {
+      refuse(error_code::bad_request, ec.message());
+    }
+    co_return false;
+  }
+  auto request = read_head(head.get());
+  auto keep_alive = head.get().keep_alive();
+  auto streamed = server_->streams && server_->streams(request);
+  auto parser = std::unique_ptr<piece_parser>();
+  if (find_header(request.headers, "expect") == "100-continue") {
+    enqueue("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+  if (streamed) {
+    parser = std::make_unique<piece_parser>(std::move(head));
+    parser->body_limit(boost::none);
+  } else {
+    if (head.content_length().value_or(0) > server_->options.max_body_bytes) {
+      refuse(error_code::too_large, "the request body is too large");
+      co_return false;
+    }
+    auto text = text_parser(std::move(head));
+    text.body_limit(server_->options.max_body_bytes);
+    co_await http::async_read(stream_, buf_, text, token);
+    if (ec == http::error::body_limit) {
+      refuse(error_code::too_large, "the request body is too large");
+    } else if (ec && ec != http::error::end_of_stream) {
+      refuse(error_code::bad_request, ec.message());
+    }
+    if (ec) co_return false;
+    request.body = std::move(text.get().body());
+  }
+  stream_.expires_never();
+  current_ = std::make_shared<exchange>(shared_from_this(), std::move(request),
+                                        keep_alive);
+  current_->set_parser(std::move(parser));
+  if (!streamed) watch_for_close();
+  server_->take(current_);
+  while (!current_->done() && !closed_) {
+    ended_.expires_at(asio::steady_timer::time_point::max());
+    co_await ended_.async_wait(token);
+  }
+  keep_alive = current_->keep_alive();
+  current_.reset();
+  co_return keep_alive && !closed_;
+}
+
+void session::watch_for_close() {
+  auto watched = std::weak_ptr(current_);
+  stream_.socket().async_wait(
+      tcp::socket::wait_read,
+      [self = shared_from_this(), watched](boost::system::error_code ec) {
+        auto it = watched.lock();
+        if (ec || !it || it->done()) return;
+        if (self->stream_.socket().available(ec) == 0) self->close();
+      });
+}
+
+void session::enqueue(std::string bytes) {
+  if (closed_) return;
+  unsent_ += bytes.size();
+  outbox_.push_back(std::move(bytes));
+  if (unsent_ > max_unsent_bytes) {
+    close();
+    return;
+  }
+  if (sending_) return;
+  sending_ = true;
+  asio::co_spawn(
+      stream_.get_executor(),
+      [self = shared_from_this()] { return self->send_all(); }, asio::detached);
+}
+
+asio::awaitable<void> session::send_all() {
+  auto ec = boost::system::error_code();
+  while (!outbox_.empty() && !closed_) {
+    auto bytes = std::string();
+    for (const auto& it : outbox_)
+      bytes += it;
+    outbox_.clear();
+    auto timer = asio::steady_timer(server_->loop.native().io,
+                                    server_->options.client_timeout);
+    timer.async_wait([self = shared_from_this()](auto timeout) {
+      if (!timeout) self->close();
+    });
+    co_await asio::async_write(stream_.socket(), asio::buffer(bytes),
+                               asio::redirect_error(asio::use_awaitable, ec));
+    timer.cancel();
+    unsent_ -= std::min(unsent_, bytes.size());
+    if (ec) close();
+  }
+  sending_ = false;
+}
+
+void session::refuse(error_code code, std::string_view message) {
+  auto body = concat(R"({"error":{"type":"invalid_request","code":")",
+                     name_in(error_code_names, code), R"(","message":")",
+                     message, R"(","outcome":"not_run"}})");
+  auto answer = http_response{.status = http_status(code),
+                              .headers = {{"Content-Type", "application/json"}},
+                              .body = std::move(body)};
+  enqueue(head_text(answer, false, false) + answer.body);
+}
+
+void session::close() {
+  if (closed_) return;
+  closed_ = true;
+  auto ec = boost::system::error_code();
+  stream_.socket().close(ec);
+  ended_.cancel();
+  if (auto it = current_) it->notify_closed();
+}
+
+asio::awaitable<void> accept_all(std::shared_ptr<http_server::impl> server) {
+  auto ec = boost::system::error_code();
+  while (server->acceptor.is_open()) {
+    auto socket = co_await server->acceptor.async_accept(
+        asio::redirect_error(asio::use_awaitable, ec));
+    if (ec == asio::error::operation_aborted) co_return;
+    if (ec) continue;
+    if (server->connections >= server->options.max_connections) continue;
+    std::make_shared<session>(std::move(socket), server)->start();
+  }
+}
+
+}  // namespace
+
+http_server::http_server(event_loop& loop, http_server_options options,
+                         handler take, streams_body streams)
+    : impl_(std::make_shared<impl>(loop, std::move(options), std::move(take),
+                                   std::move(streams))) {}
+
+http_server::~http_server() {
+  stop_accepting();
+}
+
+absl::Status http_server::start() {
+  auto ec = boost::system::error_code();
+  auto host = asio::ip::make_address(impl_->options.host, ec);
+  auto at = tcp::endpoint(host, impl_->options.port);
+  auto& acceptor = impl_->acceptor;
+  if (!ec) acceptor.open(at.protocol(), ec);
+  if (!ec) acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
+  if (!ec) acceptor.bind(at, ec);
+  if (!ec) acceptor.listen(asio::socket_base::max_listen_connections, ec);
+  if (ec) {
+    return make_error(error_code::bad_request,
+                      concat("cannot listen on ", impl_->options.host, ":",
+                             impl_->options.port, ": ", ec.message()));
+  }
+  asio::co_spawn(
+      impl_->loop.native().io, [server = impl_] { return accept_all(server); },
+      asio::detached);
+  return absl::OkStatus();
+}
+
+std::uint16_t http_server::port() const {
+  auto ec = boost::system::error_code();
+  return impl_->acceptor.local_endpoint(ec).port();
+}
+
+void http_server::stop_accepting() {
+  auto ec = boost::system::error_code();
+  impl_->acceptor.close(ec);
+}
+
+std::string_view find_header(const std::vector<http_header>& headers,
+                             std::string_view name) {
+  for (const auto& it : headers) {
+    if (beast::iequals(it.name, {name.data(), name.size()})) return it.value;
+  }
+  return {};
+}
+
+}  // namespace fulmar
--- /dev/null
+++ b/test/http-test.cc
@@ -0,0 +1,140 @@
+#include "fulmarpitch/net/http.h"
+
+#include <catch2/catch.hpp>
+
+#include "fulmarpitch/core/errors.h"
+#include "fulmarpitch/core/text.h"
+
+using namespace fulmar;
+
+namespace {
+
+constexpr auto give_up = std::chrono::seconds(20);
+
+struct fixture {
+  event_loop loop;
+  std::unique_ptr<http_server> server;
+
+  explicit fixture(http_server::handler take,
+                   http_server::streams_body streams = {}) {
+    server = std::make_unique<http_server>(
+        loop, http_server_options{.max_body_bytes = 1000}, std::move(take),
+        std::move(streams));
+    REQUIRE(server->start().ok());
+    loop.after(give_up, [this] { loop.stop(); });
+  }
+
+  std::string address() const { return concat("127.0.0.1:", server->port()); }
+
+  absl::StatusOr<http_response> call(http_request request) {
+    auto out = absl::StatusOr<http_response>(absl::UnknownError("no answer"));
+    fetch(loop, {.address = address(), .request = std::move(request)},
+          [&](auto answer) {
+            out = std::move(answer);
+            loop.stop();
+          });
+    loop.run();
+    return out;
+  }
+};
+
+void echo(const std::shared_ptr<http_exchange>& it) {
+  it->respond({.body = it->request().method + it->request().body});
+}
+
+}  // namespace
+
+TEST_CASE("a request is answered whole") {
+  auto it = fixture(echo);
+  auto answer = it.call({.method = "POST", .target = "/a", .body = "text"});
+  REQUIRE(answer.ok());
+  CHECK(answer->status == 200);
+  CHECK(answer->body == "POSTtext");
+}
+
+TEST_CASE("a body over the limit is refused with a typed error") {
+  auto it = fixture(echo);
+  auto answer = it.call({.method = "POST", .body = std::string(1001, 'x')});
+  REQUIRE(answer.ok());
+  CHECK(answer->status == 413);
+  CHECK(answer->body.find("too_large") != std::string::npos);
+}
+
+TEST_CASE("a streamed answer arrives in order and ends") {
+  auto it = fixture([](const auto& exchange) {
+    exchange->start_stream({});
+    for (auto i = 0; i < 100; ++i)
+      exchange->write(concat(i, ","));
+    exchange->finish();
+  });
+  auto answer = it.call({});
+  REQUIRE(answer.ok());
+  auto expected = std::string();
+  for (auto i = 0; i < 100; ++i)
+    expected += concat(i, ",");
+  CHECK(answer->body == expected);
+}
+
+TEST_CASE("a streamed request body is read in pieces") {
+  auto total = std::size_t{0};
+  auto it = fixture(
+      [&](const std::shared_ptr<http_exchange>& exchange) {
+        auto read = std::make_shared<std::function<void()>>();
+        *read = [&total, exchange, read] {
+          exchange->read_body([&total, exchange, read](auto piece) {
+            REQUIRE(piece.ok());
+            total += piece->size();
+            if (!piece->empty()) {
+              (*read)();
+              return;
+            }
+            exchange->respond({.body = "read"});
+            exchange->read_body([read](const auto&) { *read = nullptr; });
+          });
+        };
+        (*read)();
+      },
+      [](const http_request& head) { return head.target == "/files"; });
+  auto answer = it.call({.method = "POST",
+                         .target = "/files",
+                         .body = std::string(300'000, 'x')});
+  REQUIRE(answer.ok());
+  CHECK(total == 300'000);
+}
+
+TEST_CASE("a call to nobody has not run") {
+  auto port = std::string();
+  {
+    auto it = fixture(echo);
+    port = it.address();
+  }
+  auto loop = event_loop();
+  auto status = absl::Status();
+  fetch(loop, {.address = port}, [&](const auto& answer) {
+    status = answer.status();
+    loop.stop();
+  });
+  loop.run();
+  CHECK(code_of(status) == error_code::attempt_failed);
+  CHECK(outcome_of(status) == outcome::not_run);
+}
+
+TEST_CASE("a server that hears its client go is told") {
+  auto told = false;
+  auto call = std::shared_ptr<http_call>();
+  auto kept = std::shared_ptr<http_exchange>();
+  auto it = fixture([&](const auto& exchange) {
+    kept = exchange;
+    exchange->on_closed([&] { told = true; });
+    call->cancel();
+  });
+  auto status = absl::Status();
+  call = start_call(it.loop, {.address = it.address()},
+                    {.on_end = [&](const absl::Status& end) { status = end; }});
+  it.loop.every(std::chrono::milliseconds(1), [&] {
+    if (told) it.loop.stop();
+  });
+  it.loop.run();
+  CHECK(told);
+  CHECK(code_of(status) == error_code::cancelled);
+}
