--- a/include/fulmarpitch/order/audit.h
+++ b/include/fulmarpitch/order/audit.h
@@ -9,7 +9,6 @@
 #include <array>
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -37,15 +36,16 @@
   epoch_not_opened,
   epoch_not_closed,
   epoch_link_broken,
-  epochs_overlap,
+  epochs_forked,
   hole_too_wide,
   head_differs,
   /// Named by the records themselves: no fault, but no clean run either.
   named_hole,
   provisional_epoch,
+  epochs_overlap,
 };
 
-inline constexpr std::array<named<audit_fault>, 18> audit_fault_names{{
+inline constexpr std::array<named<audit_fault>, 19> audit_fault_names{{
     {audit_fault::segment_unreadable, "segment_unreadable"},
     {audit_fault::segment_misnamed, "segment_misnamed"},
     {audit_fault::segment_link_broken, "segment_link_broken"},
@@ -59,11 +59,12 @@
     {audit_fault::epoch_not_opened, "epoch_not_opened"},
     {audit_fault::epoch_not_closed, "epoch_not_closed"},
     {audit_fault::epoch_link_broken, "epoch_link_broken"},
-    {audit_fault::epochs_overlap, "epochs_overlap"},
+    {audit_fault::epochs_forked, "epochs_forked"},
     {audit_fault::hole_too_wide, "hole_too_wide"},
     {audit_fault::head_differs, "head_differs"},
     {audit_fault::named_hole, "named_hole"},
     {audit_fault::provisional_epoch, "provisional_epoch"},
+    {audit_fault::epochs_overlap, "epochs_overlap"},
 }};
 
 /// One thing that was found, with its place.
@@ -156,9 +157,4 @@
 /// \return the store.
 object_store directory_store(std::string path);
 
-/// Explains one record in plain sentences: who was ahead, and by which rule.
-/// \param record the record.
-/// \return one or more sentences.
-std::string explain(const order_record& record);
-
 }  // namespace fulmar
--- a/include/fulmarpitch/order/log.h
+++ b/include/fulmarpitch/order/log.h
@@ -41,9 +41,8 @@
   std::string owner;
   /// Number of the opening record.
   std::uint64_t first_number = 1;
-  /// Digest of the record before, and the segment before.
+  /// Digest of the record before.
   digest previous{};
-  segment_link previous_segment;
   open_detail detail;
 };
 
--- a/include/fulmarpitch/order/record.h
+++ b/include/fulmarpitch/order/record.h
@@ -93,12 +93,22 @@
   instant retry_after{};
 };
 
+/// The segment before another; an empty name stands for "none".
+struct segment_link {
+  std::string name;
+  digest hash{};
+
+  bool operator==(const segment_link&) const = default;
+};
+
 /// How an epoch began.
 struct open_detail {
   /// The platform could not be asked who owns the pool.
   bool provisional = false;
   /// The epoch before this one; number 0 without one.
   epoch_id predecessor;
+  /// The segment that closed it.
+  segment_link previous_segment;
 };
 
 /// How an epoch ended.
--- a/include/fulmarpitch/order/segment.h
+++ b/include/fulmarpitch/order/segment.h
@@ -18,14 +18,6 @@
 /// Every segment's name begins with this.
 inline constexpr std::string_view segment_prefix = "order/";
 
-/// The segment before another; an empty name stands for "none".
-struct segment_link {
-  std::string name;
-  digest hash{};
-
-  bool operator==(const segment_link&) const = default;
-};
-
 /// An object as the object store holds it.
 struct stored_segment {
   std::string name;
@@ -36,6 +28,7 @@
 struct order_segment {
   std::string pool;
   epoch_id epoch;
+  /// The range of numbers covered, holes included; segments tile an epoch.
   std::uint64_t first = 0;
   std::uint64_t last = 0;
   segment_link previous;
