Read, check and write the operators' declarations; settings from flags

Cause: the daemons and the command line take their state from JSON files. Settings fall back on FULMAR_ variables.

--- a/include/fulmarpitch/config/configuration.h
+++ b/include/fulmarpitch/config/configuration.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 #include "fulmarpitch/core/sequencer.h"
@@ -142,7 +143,10 @@
   object_kind kind = object_kind::model;
   std::string name;
 
-  auto operator<=>(const object_key&) const = default;
+  bool operator==(const object_key&) const = default;
+  bool operator<(const object_key& other) const {
+    return std::tie(kind, name) < std::tie(other.kind, other.name);
+  }
 };
 
 /// Spells a key.
--- a/include/fulmarpitch/core/settings.h
+++ b/include/fulmarpitch/core/settings.h
@@ -100,6 +100,9 @@
   const std::vector<setting_error>& errors() const { return errors_; }
 
  private:
+  void set_from_variable(const std::string& name, const std::string& value,
+                         bool is_switch, bool is_list);
+
   std::map<std::string, std::vector<std::string>> values_;
   std::map<std::string, bool> switches_;
   std::vector<setting_error> errors_;
