Declare queues, limits, routing and suspects of the sequencer

The sequencer needs tables for order, limits, routing and blame. Targets gain the engine's step costs, refusals the content to quarantine, and an event carries quarantine from other sequencers. Nothing is implemented yet.

--- a/include/fulmarpitch/core/sequencer.h
+++ b/include/fulmarpitch/core/sequencer.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "fulmarpitch/core/choice.h"
+#include "fulmarpitch/core/routing.h"
 #include "fulmarpitch/core/types.h"
 
 namespace fulmar {
@@ -31,6 +32,8 @@
   bool can_resume = false;
   /// A leaving target receives no new work.
   bool leaving = false;
+  /// How fast the engine is.
+  engine_costs costs;
 };
 
 /// A class of callers, in the operators' order.
@@ -74,8 +77,10 @@
     {attempt_end::preempted, "preempted"},
 }};
 
-/// A request enters the queue. After the loss of a sequencer the entry submits
-/// again what it holds: `attempt` and `target` then name the running attempt.
+/// A request enters the queue. The deadline of batch work is its due time: it
+/// orders batch work, and batch work is not refused when it passes. After the
+/// loss of a sequencer the entry submits again what it holds: `attempt` and
+/// `target` then name the running attempt.
 struct submit_event {
   work_item item;
   /// The entry daemon that holds the request.
@@ -140,10 +145,16 @@
   pool_policy policy;
 };
 
+/// Another sequencer found a content that crashes targets.
+struct quarantine_event {
+  std::uint64_t content_hash = 0;
+};
+
 using sequencer_event =
     std::variant<submit_event, cancel_event, progress_event, finished_event,
                  load_report_event, cache_event, target_event,
-                 target_gone_event, origin_gone_event, policy_event>;
+                 target_gone_event, origin_gone_event, policy_event,
+                 quarantine_event>;
 
 /// The origin may start this attempt.
 struct admit_command {
@@ -165,6 +176,8 @@
   std::string class_name;
   error_code code = error_code::overloaded;
   outcome what = outcome::not_run;
+  /// The content to quarantine elsewhere too, with `error_code::quarantined`.
+  std::uint64_t content_hash = 0;
   /// When to come back; 0 when coming back does not help.
   instant retry_after{};
 };
@@ -215,7 +228,9 @@
   /// \return the commands, in order of their numbers.
   std::vector<sequencer_command> tick(instant now);
 
+  /// Requests that wait, held ones included.
   std::size_t queued() const;
+  /// Requests with an attempt at a target.
   std::size_t running() const;
 
  private:
