--- a/include/fulmarpitch/core/limits.h
+++ b/include/fulmarpitch/core/limits.h
@@ -34,7 +34,7 @@
 
 /// Bounds retries to a fraction of first attempts.
 struct retry_budget {
-  std::int64_t permille = 5 * 1000;
+  std::int64_t permille = 5000;
 };
 
 /// Earns for a first attempt.
@@ -63,7 +63,8 @@
   static constexpr std::size_t seconds = 60;
 
   void add(std::int64_t value, instant now);
-  std::int64_t peak(instant now) const;
+  /// \param window how many seconds to look back, the current one included.
+  std::int64_t peak(instant now, std::size_t window = seconds) const;
 
  private:
   std::array<std::int64_t, seconds> peaks_{};
--- a/include/fulmarpitch/core/queues.h
+++ b/include/fulmarpitch/core/queues.h
@@ -45,6 +45,8 @@
   /// Work queued, in microseconds of one slot.
   std::int64_t queued_us = 0;
   bool listed = false;
+  /// Requests that its concurrency lets it run now.
+  std::size_t servable = 0;
   std::set<queue_entry> entries;
 };
 
@@ -83,6 +85,8 @@
   const caller_row& at(caller_id caller) const { return callers_[caller]; }
   work_kind kind() const { return kind_; }
   std::size_t size() const { return size_; }
+  /// Queued requests that no concurrency limit holds back.
+  std::size_t servable() const { return servable_; }
   bool can_serve() const { return !active_.empty(); }
   std::int64_t work_us() const { return work_us_; }
 
@@ -101,6 +105,7 @@
   std::int64_t work_us_ = 0;
   std::int64_t weight_ = 0;
   std::size_t size_ = 0;
+  std::size_t servable_ = 0;
 };
 
 }  // namespace fulmar
