--- a/include/fulmarpitch/platform/memory-stores.h
+++ b/include/fulmarpitch/platform/memory-stores.h
@@ -85,12 +85,12 @@
 /// Gives the table service over the state.
 /// \param state the shared state; the functions keep it alive.
 /// \return the struct of functions.
-table_store make_table_store(std::shared_ptr<memory_stores> state);
+table_store make_table_store(const std::shared_ptr<memory_stores>& state);
 
 /// Gives the object store over the state.
 /// \param state the shared state; the functions keep it alive.
 /// \return the struct of functions.
-object_store make_object_store(std::shared_ptr<memory_stores> state);
+object_store make_object_store(const std::shared_ptr<memory_stores>& state);
 
 /// Runs every effect and reply that is due, also those that the callbacks
 /// bring about and that are due at once.
--- a/include/fulmarpitch/state/entry-outbox.h
+++ b/include/fulmarpitch/state/entry-outbox.h
@@ -15,7 +15,7 @@
 /// How an outbox is built.
 struct entry_outbox_options {
   std::size_t most_records = 5'000;
-  std::size_t most_bytes = 8 * 1024 * 1024;
+  std::size_t most_bytes = std::size_t{8} * 1024 * 1024;
   /// Time after which an unacknowledged result is sent again.
   instant resend_after = std::chrono::seconds(10);
 };
--- a/include/fulmarpitch/state/files.h
+++ b/include/fulmarpitch/state/files.h
@@ -69,10 +69,10 @@
   std::string name;
   std::uint64_t random_seed = 1;
   std::size_t most_items = 980'000;
-  std::size_t most_line_bytes = 1024 * 1024;
+  std::size_t most_line_bytes = std::size_t{1024} * 1024;
   std::size_t most_custom_id_bytes = 256;
   std::size_t chunk_items = 1'000;
-  std::size_t chunk_bytes = 4 * 1024 * 1024;
+  std::size_t chunk_bytes = std::size_t{4} * 1024 * 1024;
   /// Chunks under way to the store; `ready` is false beyond.
   std::size_t most_writes = 2;
   instant first_retry = std::chrono::milliseconds(100);
--- a/include/fulmarpitch/state/recorder.h
+++ b/include/fulmarpitch/state/recorder.h
@@ -25,7 +25,7 @@
   instant claim_interval = std::chrono::milliseconds(50);
   /// Bounds of everything that is not in the stores yet.
   std::size_t most_pending = 20'000;
-  std::size_t most_pending_bytes = 16 * 1024 * 1024;
+  std::size_t most_pending_bytes = std::size_t{16} * 1024 * 1024;
   instant first_retry = std::chrono::milliseconds(100);
   instant longest_retry = std::chrono::seconds(5);
 };
--- a/include/fulmarpitch/state/results.h
+++ b/include/fulmarpitch/state/results.h
@@ -3,6 +3,7 @@
 /// \file
 /// Request ids, results and how a result is found from any VM.
 
+#include <array>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -95,14 +96,14 @@
   claim_kind kind = claim_kind::started;
   /// The request id, the caller with its key, or a content hash.
   std::string subject;
-  /// Who claims; the same claimant may claim again.
+  /// Who claims; the same claimant may claim again. Holds no line feed.
   std::string claimant;
   /// Kept with the claim, at most 4 KiB.
   std::string value;
 };
 
 /// Bytes a claim's value may have.
-inline constexpr std::size_t max_claim_bytes = 4 * 1024;
+inline constexpr std::size_t max_claim_bytes = std::size_t{4} * 1024;
 
 /// Who holds a claim.
 struct claim_outcome {
@@ -127,6 +128,9 @@
 
 namespace detail {
 
+/// Escapes a text so that it holds no separator of row keys.
+std::string key_part(std::string_view text);
+
 /// Writes and reads the value of a claim's row.
 std::string claim_value(const claim_record& claim);
 claim_outcome parse_claim(std::string_view value, std::string_view claimant);
--- a/src/platform/memory-stores.cc
+++ b/src/platform/memory-stores.cc
@@ -227,7 +227,7 @@
   return state;
 }
 
-table_store make_table_store(std::shared_ptr<memory_stores> state) {
+table_store make_table_store(const std::shared_ptr<memory_stores>& state) {
   auto store = table_store();
   store.commit = [state](table_transaction transaction,
                          callback<commit_result> done) {
@@ -246,7 +246,8 @@
         },
         std::move(done));
   };
-  store.scan = [state](std::string prefix, std::string after, std::size_t limit,
+  store.scan = [state](const std::string& prefix, const std::string& after,
+                       std::size_t limit,
                        callback<std::vector<table_row>> done) {
     detail::start_call<std::vector<table_row>>(
         *state,
@@ -261,7 +262,7 @@
   return store;
 }
 
-object_store make_object_store(std::shared_ptr<memory_stores> state) {
+object_store make_object_store(const std::shared_ptr<memory_stores>& state) {
   auto store = object_store();
   store.put_if_absent = [state](std::string name, std::string bytes,
                                 callback<bool> done) {
@@ -280,7 +281,8 @@
         },
         std::move(done));
   };
-  store.list = [state](std::string prefix, std::string after, std::size_t limit,
+  store.list = [state](const std::string& prefix, const std::string& after,
+                       std::size_t limit,
                        callback<std::vector<std::string>> done) {
     detail::start_call<std::vector<std::string>>(
         *state,
