--- a/include/fulmarpitch/config/tickets.h
+++ b/include/fulmarpitch/config/tickets.h
@@ -166,6 +166,11 @@
 /// Reads the newest version; version 0 before the first ticket.
 void read_head(const config_stores& stores, callback<config_head> done);
 
+/// Checks a snapshot's bytes against the head that names them.
+/// \return the snapshot, or `internal` when the digest differs.
+absl::StatusOr<config_snapshot> verified_snapshot(const config_head& head,
+                                                  std::string_view bytes);
+
 /// Reads a version's snapshot and checks its digest.
 void read_snapshot(const config_stores& stores, config_head head,
                    callback<config_snapshot> done);
