Detect failures and spread states within a data centre

Cause: daemons have to agree on the live members and on leaving targets without a second coordination service. Change: SWIM-like membership with local health, digests of 16 buckets on each ping, and summaries between data centres; rendezvous ownership.

--- a/include/fulmarpitch/core/membership.h
+++ b/include/fulmarpitch/core/membership.h
@@ -91,6 +91,11 @@
   summary_reply,
 };
 
+/// Hashes of the live members and target states that a sender holds, 16 buckets
+/// of 16 bits, four to a word, so that a receiver knows which of its records
+/// the sender may lack.
+using membership_digest = std::array<std::uint64_t, 4>;
+
 /// One datagram.
 struct membership_message {
   membership_message_kind kind = membership_message_kind::ping;
@@ -102,8 +107,7 @@
   /// The sender's record, by incarnation; the receiver asks for the record
   /// through the digest when it does not hold it.
   std::uint64_t incarnation = 0;
-  /// Hash of the live members and target states that the sender holds.
-  std::uint64_t digest = 0;
+  membership_digest digest{};
   /// Highest configuration version that the sender has heard of.
   std::uint64_t highest_config_version = 0;
   /// The member a ping request or a relayed ack is about.
@@ -171,13 +175,14 @@
   instant ack_timeout = std::chrono::milliseconds(200);
   /// Time for a suspected member to refute.
   instant suspicion = std::chrono::milliseconds(3000);
-  instant summary_period = std::chrono::seconds(1);
+  instant summary_period = std::chrono::seconds(2);
   /// Dead members are forgotten after this.
   instant dead_retention = std::chrono::hours(2);
   std::size_t indirect_pings = 3;
   std::size_t delegates = 2;
   /// Most member records and most target records in one datagram.
   std::size_t records_per_message = 3;
+  std::size_t targets_per_message = 8;
   std::uint64_t random_seed = 1;
 };
 
