--- a/include/fulmarpitch/net/peer_generated.h
+++ b/include/fulmarpitch/net/peer_generated.h
@@ -72,6 +72,14 @@
 struct durableBuilder;
 struct durableT;
 
+struct witness;
+struct witnessBuilder;
+struct witnessT;
+
+struct witness_ack;
+struct witness_ackBuilder;
+struct witness_ackT;
+
 struct record_result;
 struct record_resultBuilder;
 struct record_resultT;
@@ -116,9 +124,21 @@
 struct recordsBuilder;
 struct recordsT;
 
-struct block;
-struct blockBuilder;
-struct blockT;
+struct member_entry;
+struct member_entryBuilder;
+struct member_entryT;
+
+struct target_entry;
+struct target_entryBuilder;
+struct target_entryT;
+
+struct summary_entry;
+struct summary_entryBuilder;
+struct summary_entryT;
+
+struct gossip;
+struct gossipBuilder;
+struct gossipT;
 
 struct envelope;
 struct envelopeBuilder;
@@ -126,37 +146,41 @@
 
 enum class body : uint8_t {
   NONE = 0,
-  challenge = 1,
-  hello = 2,
-  welcome = 3,
-  keep_alive = 4,
-  submit = 5,
-  cancel = 6,
-  progress = 7,
-  finished = 8,
-  admit = 9,
-  refuse = 10,
-  stop_attempt = 11,
-  not_owner = 12,
-  durable = 13,
-  record_result = 14,
-  record_ack = 15,
-  claim = 16,
-  claim_ack = 17,
-  append_segment = 18,
-  find_pending = 19,
-  found_pending = 20,
-  get_snapshot = 21,
-  snapshot = 22,
-  get_records = 23,
-  records = 24,
+  gossip = 1,
+  challenge = 2,
+  hello = 3,
+  welcome = 4,
+  keep_alive = 5,
+  submit = 6,
+  cancel = 7,
+  progress = 8,
+  finished = 9,
+  admit = 10,
+  refuse = 11,
+  stop_attempt = 12,
+  not_owner = 13,
+  durable = 14,
+  witness = 15,
+  witness_ack = 16,
+  record_result = 17,
+  record_ack = 18,
+  claim = 19,
+  claim_ack = 20,
+  append_segment = 21,
+  find_pending = 22,
+  found_pending = 23,
+  get_snapshot = 24,
+  snapshot = 25,
+  get_records = 26,
+  records = 27,
   MIN = NONE,
   MAX = records
 };
 
-inline const body (&EnumValuesbody())[25] {
+inline const body (&EnumValuesbody())[28] {
   static const body values[] = {
     body::NONE,
+    body::gossip,
     body::challenge,
     body::hello,
     body::welcome,
@@ -170,6 +194,8 @@
     body::stop_attempt,
     body::not_owner,
     body::durable,
+    body::witness,
+    body::witness_ack,
     body::record_result,
     body::record_ack,
     body::claim,
@@ -186,8 +212,9 @@
 }
 
 inline const char * const *EnumNamesbody() {
-  static const char * const names[26] = {
+  static const char * const names[29] = {
     "NONE",
+    "gossip",
     "challenge",
     "hello",
     "welcome",
@@ -201,6 +228,8 @@
     "stop_attempt",
     "not_owner",
     "durable",
+    "witness",
+    "witness_ack",
     "record_result",
     "record_ack",
     "claim",
@@ -227,6 +256,10 @@
   static const body enum_value = body::NONE;
 };
 
+template<> struct bodyTraits<fulmar::wire::gossip> {
+  static const body enum_value = body::gossip;
+};
+
 template<> struct bodyTraits<fulmar::wire::challenge> {
   static const body enum_value = body::challenge;
 };
@@ -279,6 +312,14 @@
   static const body enum_value = body::durable;
 };
 
+template<> struct bodyTraits<fulmar::wire::witness> {
+  static const body enum_value = body::witness;
+};
+
+template<> struct bodyTraits<fulmar::wire::witness_ack> {
+  static const body enum_value = body::witness_ack;
+};
+
 template<> struct bodyTraits<fulmar::wire::record_result> {
   static const body enum_value = body::record_result;
 };
@@ -327,6 +368,10 @@
   static const body enum_value = body::NONE;
 };
 
+template<> struct bodyUnionTraits<fulmar::wire::gossipT> {
+  static const body enum_value = body::gossip;
+};
+
 template<> struct bodyUnionTraits<fulmar::wire::challengeT> {
   static const body enum_value = body::challenge;
 };
@@ -379,6 +424,14 @@
   static const body enum_value = body::durable;
 };
 
+template<> struct bodyUnionTraits<fulmar::wire::witnessT> {
+  static const body enum_value = body::witness;
+};
+
+template<> struct bodyUnionTraits<fulmar::wire::witness_ackT> {
+  static const body enum_value = body::witness_ack;
+};
+
 template<> struct bodyUnionTraits<fulmar::wire::record_resultT> {
   static const body enum_value = body::record_result;
 };
@@ -453,6 +506,14 @@
   static void *UnPack(const void *obj, body type, const flatbuffers::resolver_function_t *resolver);
   flatbuffers::Offset<void> Pack(flatbuffers::FlatBufferBuilder &_fbb, const flatbuffers::rehasher_function_t *_rehasher = nullptr) const;
 
+  fulmar::wire::gossipT *Asgossip() {
+    return type == body::gossip ?
+      reinterpret_cast<fulmar::wire::gossipT *>(value) : nullptr;
+  }
+  const fulmar::wire::gossipT *Asgossip() const {
+    return type == body::gossip ?
+      reinterpret_cast<const fulmar::wire::gossipT *>(value) : nullptr;
+  }
   fulmar::wire::challengeT *Aschallenge() {
     return type == body::challenge ?
       reinterpret_cast<fulmar::wire::challengeT *>(value) : nullptr;
@@ -557,6 +618,22 @@
     return type == body::durable ?
       reinterpret_cast<const fulmar::wire::durableT *>(value) : nullptr;
   }
+  fulmar::wire::witnessT *Aswitness() {
+    return type == body::witness ?
+      reinterpret_cast<fulmar::wire::witnessT *>(value) : nullptr;
+  }
+  const fulmar::wire::witnessT *Aswitness() const {
+    return type == body::witness ?
+      reinterpret_cast<const fulmar::wire::witnessT *>(value) : nullptr;
+  }
+  fulmar::wire::witness_ackT *Aswitness_ack() {
+    return type == body::witness_ack ?
+      reinterpret_cast<fulmar::wire::witness_ackT *>(value) : nullptr;
+  }
+  const fulmar::wire::witness_ackT *Aswitness_ack() const {
+    return type == body::witness_ack ?
+      reinterpret_cast<const fulmar::wire::witness_ackT *>(value) : nullptr;
+  }
   fulmar::wire::record_resultT *Asrecord_result() {
     return type == body::record_result ?
       reinterpret_cast<fulmar::wire::record_resultT *>(value) : nullptr;
@@ -2131,6 +2208,133 @@
 
 flatbuffers::Offset<durable> Createdurable(flatbuffers::FlatBufferBuilder &_fbb, const durableT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct witnessT : public flatbuffers::NativeTable {
+  typedef witness TableType;
+  uint64_t id = 0;
+  std::vector<uint8_t> record{};
+};
+
+struct witness FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef witnessT NativeTableType;
+  typedef witnessBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_RECORD = 6
+  };
+  uint64_t id() const {
+    return GetField<uint64_t>(VT_ID, 0);
+  }
+  const flatbuffers::Vector<uint8_t> *record() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_RECORD);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_ID, 8) &&
+           VerifyOffset(verifier, VT_RECORD) &&
+           verifier.VerifyVector(record()) &&
+           verifier.EndTable();
+  }
+  witnessT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(witnessT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<witness> Pack(flatbuffers::FlatBufferBuilder &_fbb, const witnessT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct witnessBuilder {
+  typedef witness Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(uint64_t id) {
+    fbb_.AddElement<uint64_t>(witness::VT_ID, id, 0);
+  }
+  void add_record(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> record) {
+    fbb_.AddOffset(witness::VT_RECORD, record);
+  }
+  explicit witnessBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<witness> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<witness>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<witness> Createwitness(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> record = 0) {
+  witnessBuilder builder_(_fbb);
+  builder_.add_id(id);
+  builder_.add_record(record);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<witness> CreatewitnessDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    const std::vector<uint8_t> *record = nullptr) {
+  auto record__ = record ? _fbb.CreateVector<uint8_t>(*record) : 0;
+  return fulmar::wire::Createwitness(
+      _fbb,
+      id,
+      record__);
+}
+
+flatbuffers::Offset<witness> Createwitness(flatbuffers::FlatBufferBuilder &_fbb, const witnessT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct witness_ackT : public flatbuffers::NativeTable {
+  typedef witness_ack TableType;
+  uint64_t id = 0;
+};
+
+struct witness_ack FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef witness_ackT NativeTableType;
+  typedef witness_ackBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4
+  };
+  uint64_t id() const {
+    return GetField<uint64_t>(VT_ID, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_ID, 8) &&
+           verifier.EndTable();
+  }
+  witness_ackT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(witness_ackT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<witness_ack> Pack(flatbuffers::FlatBufferBuilder &_fbb, const witness_ackT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct witness_ackBuilder {
+  typedef witness_ack Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(uint64_t id) {
+    fbb_.AddElement<uint64_t>(witness_ack::VT_ID, id, 0);
+  }
+  explicit witness_ackBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<witness_ack> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<witness_ack>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<witness_ack> Createwitness_ack(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0) {
+  witness_ackBuilder builder_(_fbb);
+  builder_.add_id(id);
+  return builder_.Finish();
+}
+
+flatbuffers::Offset<witness_ack> Createwitness_ack(flatbuffers::FlatBufferBuilder &_fbb, const witness_ackT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct record_resultT : public flatbuffers::NativeTable {
   typedef record_result TableType;
   uint64_t id = 0;
@@ -2968,11 +3172,7 @@
 struct recordsT : public flatbuffers::NativeTable {
   typedef records TableType;
   uint64_t id = 0;
-  std::vector<std::unique_ptr<fulmar::wire::blockT>> bodies{};
-  recordsT() = default;
-  recordsT(const recordsT &o);
-  recordsT(recordsT&&) FLATBUFFERS_NOEXCEPT = default;
-  recordsT &operator=(recordsT o) FLATBUFFERS_NOEXCEPT;
+  std::vector<std::string> lines{};
 };
 
 struct records FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2980,20 +3180,20 @@
   typedef recordsBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ID = 4,
-    VT_BODIES = 6
+    VT_LINES = 6
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
   }
-  const flatbuffers::Vector<flatbuffers::Offset<fulmar::wire::block>> *bodies() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<fulmar::wire::block>> *>(VT_BODIES);
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *lines() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_LINES);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
-           VerifyOffset(verifier, VT_BODIES) &&
-           verifier.VerifyVector(bodies()) &&
-           verifier.VerifyVectorOfTables(bodies()) &&
+           VerifyOffset(verifier, VT_LINES) &&
+           verifier.VerifyVector(lines()) &&
+           verifier.VerifyVectorOfStrings(lines()) &&
            verifier.EndTable();
   }
   recordsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3008,8 +3208,8 @@
   void add_id(uint64_t id) {
     fbb_.AddElement<uint64_t>(records::VT_ID, id, 0);
   }
-  void add_bodies(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fulmar::wire::block>>> bodies) {
-    fbb_.AddOffset(records::VT_BODIES, bodies);
+  void add_lines(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> lines) {
+    fbb_.AddOffset(records::VT_LINES, lines);
   }
   explicit recordsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -3025,87 +3225,624 @@
 inline flatbuffers::Offset<records> Createrecords(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t id = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fulmar::wire::block>>> bodies = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> lines = 0) {
   recordsBuilder builder_(_fbb);
   builder_.add_id(id);
-  builder_.add_bodies(bodies);
+  builder_.add_lines(lines);
   return builder_.Finish();
 }
 
 inline flatbuffers::Offset<records> CreaterecordsDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t id = 0,
-    const std::vector<flatbuffers::Offset<fulmar::wire::block>> *bodies = nullptr) {
-  auto bodies__ = bodies ? _fbb.CreateVector<flatbuffers::Offset<fulmar::wire::block>>(*bodies) : 0;
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *lines = nullptr) {
+  auto lines__ = lines ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*lines) : 0;
   return fulmar::wire::Createrecords(
       _fbb,
       id,
-      bodies__);
+      lines__);
 }
 
 flatbuffers::Offset<records> Createrecords(flatbuffers::FlatBufferBuilder &_fbb, const recordsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct blockT : public flatbuffers::NativeTable {
-  typedef block TableType;
-  std::vector<uint8_t> bytes{};
+struct member_entryT : public flatbuffers::NativeTable {
+  typedef member_entry TableType;
+  std::string name{};
+  std::string peer_address{};
+  std::string http_address{};
+  uint64_t incarnation = 0;
+  uint64_t start = 0;
+  uint64_t config_version = 0;
+  uint8_t state = 0;
+  bool ready = false;
+  bool leaving = false;
+};
+
+struct member_entry FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef member_entryT NativeTableType;
+  typedef member_entryBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NAME = 4,
+    VT_PEER_ADDRESS = 6,
+    VT_HTTP_ADDRESS = 8,
+    VT_INCARNATION = 10,
+    VT_START = 12,
+    VT_CONFIG_VERSION = 14,
+    VT_STATE = 16,
+    VT_READY = 18,
+    VT_LEAVING = 20
+  };
+  const flatbuffers::String *name() const {
+    return GetPointer<const flatbuffers::String *>(VT_NAME);
+  }
+  const flatbuffers::String *peer_address() const {
+    return GetPointer<const flatbuffers::String *>(VT_PEER_ADDRESS);
+  }
+  const flatbuffers::String *http_address() const {
+    return GetPointer<const flatbuffers::String *>(VT_HTTP_ADDRESS);
+  }
+  uint64_t incarnation() const {
+    return GetField<uint64_t>(VT_INCARNATION, 0);
+  }
+  uint64_t start() const {
+    return GetField<uint64_t>(VT_START, 0);
+  }
+  uint64_t config_version() const {
+    return GetField<uint64_t>(VT_CONFIG_VERSION, 0);
+  }
+  uint8_t state() const {
+    return GetField<uint8_t>(VT_STATE, 0);
+  }
+  bool ready() const {
+    return GetField<uint8_t>(VT_READY, 0) != 0;
+  }
+  bool leaving() const {
+    return GetField<uint8_t>(VT_LEAVING, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_NAME) &&
+           verifier.VerifyString(name()) &&
+           VerifyOffset(verifier, VT_PEER_ADDRESS) &&
+           verifier.VerifyString(peer_address()) &&
+           VerifyOffset(verifier, VT_HTTP_ADDRESS) &&
+           verifier.VerifyString(http_address()) &&
+           VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_START, 8) &&
+           VerifyField<uint64_t>(verifier, VT_CONFIG_VERSION, 8) &&
+           VerifyField<uint8_t>(verifier, VT_STATE, 1) &&
+           VerifyField<uint8_t>(verifier, VT_READY, 1) &&
+           VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
+           verifier.EndTable();
+  }
+  member_entryT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(member_entryT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<member_entry> Pack(flatbuffers::FlatBufferBuilder &_fbb, const member_entryT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct member_entryBuilder {
+  typedef member_entry Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_name(flatbuffers::Offset<flatbuffers::String> name) {
+    fbb_.AddOffset(member_entry::VT_NAME, name);
+  }
+  void add_peer_address(flatbuffers::Offset<flatbuffers::String> peer_address) {
+    fbb_.AddOffset(member_entry::VT_PEER_ADDRESS, peer_address);
+  }
+  void add_http_address(flatbuffers::Offset<flatbuffers::String> http_address) {
+    fbb_.AddOffset(member_entry::VT_HTTP_ADDRESS, http_address);
+  }
+  void add_incarnation(uint64_t incarnation) {
+    fbb_.AddElement<uint64_t>(member_entry::VT_INCARNATION, incarnation, 0);
+  }
+  void add_start(uint64_t start) {
+    fbb_.AddElement<uint64_t>(member_entry::VT_START, start, 0);
+  }
+  void add_config_version(uint64_t config_version) {
+    fbb_.AddElement<uint64_t>(member_entry::VT_CONFIG_VERSION, config_version, 0);
+  }
+  void add_state(uint8_t state) {
+    fbb_.AddElement<uint8_t>(member_entry::VT_STATE, state, 0);
+  }
+  void add_ready(bool ready) {
+    fbb_.AddElement<uint8_t>(member_entry::VT_READY, static_cast<uint8_t>(ready), 0);
+  }
+  void add_leaving(bool leaving) {
+    fbb_.AddElement<uint8_t>(member_entry::VT_LEAVING, static_cast<uint8_t>(leaving), 0);
+  }
+  explicit member_entryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<member_entry> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<member_entry>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<member_entry> Createmember_entry(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> name = 0,
+    flatbuffers::Offset<flatbuffers::String> peer_address = 0,
+    flatbuffers::Offset<flatbuffers::String> http_address = 0,
+    uint64_t incarnation = 0,
+    uint64_t start = 0,
+    uint64_t config_version = 0,
+    uint8_t state = 0,
+    bool ready = false,
+    bool leaving = false) {
+  member_entryBuilder builder_(_fbb);
+  builder_.add_config_version(config_version);
+  builder_.add_start(start);
+  builder_.add_incarnation(incarnation);
+  builder_.add_http_address(http_address);
+  builder_.add_peer_address(peer_address);
+  builder_.add_name(name);
+  builder_.add_leaving(leaving);
+  builder_.add_ready(ready);
+  builder_.add_state(state);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<member_entry> Createmember_entryDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *name = nullptr,
+    const char *peer_address = nullptr,
+    const char *http_address = nullptr,
+    uint64_t incarnation = 0,
+    uint64_t start = 0,
+    uint64_t config_version = 0,
+    uint8_t state = 0,
+    bool ready = false,
+    bool leaving = false) {
+  auto name__ = name ? _fbb.CreateString(name) : 0;
+  auto peer_address__ = peer_address ? _fbb.CreateString(peer_address) : 0;
+  auto http_address__ = http_address ? _fbb.CreateString(http_address) : 0;
+  return fulmar::wire::Createmember_entry(
+      _fbb,
+      name__,
+      peer_address__,
+      http_address__,
+      incarnation,
+      start,
+      config_version,
+      state,
+      ready,
+      leaving);
+}
+
+flatbuffers::Offset<member_entry> Createmember_entry(flatbuffers::FlatBufferBuilder &_fbb, const member_entryT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct target_entryT : public flatbuffers::NativeTable {
+  typedef target_entry TableType;
+  std::string name{};
+  uint64_t version = 0;
+  uint8_t state = 0;
 };
 
-struct block FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef blockT NativeTableType;
-  typedef blockBuilder Builder;
+struct target_entry FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef target_entryT NativeTableType;
+  typedef target_entryBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_BYTES = 4
+    VT_NAME = 4,
+    VT_VERSION = 6,
+    VT_STATE = 8
   };
-  const flatbuffers::Vector<uint8_t> *bytes() const {
-    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_BYTES);
+  const flatbuffers::String *name() const {
+    return GetPointer<const flatbuffers::String *>(VT_NAME);
+  }
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
+  }
+  uint8_t state() const {
+    return GetField<uint8_t>(VT_STATE, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyOffset(verifier, VT_BYTES) &&
-           verifier.VerifyVector(bytes()) &&
+           VerifyOffset(verifier, VT_NAME) &&
+           verifier.VerifyString(name()) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
+           VerifyField<uint8_t>(verifier, VT_STATE, 1) &&
            verifier.EndTable();
   }
-  blockT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(blockT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<block> Pack(flatbuffers::FlatBufferBuilder &_fbb, const blockT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+  target_entryT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(target_entryT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<target_entry> Pack(flatbuffers::FlatBufferBuilder &_fbb, const target_entryT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 };
 
-struct blockBuilder {
-  typedef block Table;
+struct target_entryBuilder {
+  typedef target_entry Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_bytes(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> bytes) {
-    fbb_.AddOffset(block::VT_BYTES, bytes);
+  void add_name(flatbuffers::Offset<flatbuffers::String> name) {
+    fbb_.AddOffset(target_entry::VT_NAME, name);
   }
-  explicit blockBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(target_entry::VT_VERSION, version, 0);
+  }
+  void add_state(uint8_t state) {
+    fbb_.AddElement<uint8_t>(target_entry::VT_STATE, state, 0);
+  }
+  explicit target_entryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<block> Finish() {
+  flatbuffers::Offset<target_entry> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<block>(end);
+    auto o = flatbuffers::Offset<target_entry>(end);
     return o;
   }
 };
 
-inline flatbuffers::Offset<block> Createblock(
+inline flatbuffers::Offset<target_entry> Createtarget_entry(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> bytes = 0) {
-  blockBuilder builder_(_fbb);
-  builder_.add_bytes(bytes);
+    flatbuffers::Offset<flatbuffers::String> name = 0,
+    uint64_t version = 0,
+    uint8_t state = 0) {
+  target_entryBuilder builder_(_fbb);
+  builder_.add_version(version);
+  builder_.add_name(name);
+  builder_.add_state(state);
   return builder_.Finish();
 }
 
-inline flatbuffers::Offset<block> CreateblockDirect(
+inline flatbuffers::Offset<target_entry> Createtarget_entryDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const std::vector<uint8_t> *bytes = nullptr) {
-  auto bytes__ = bytes ? _fbb.CreateVector<uint8_t>(*bytes) : 0;
-  return fulmar::wire::Createblock(
+    const char *name = nullptr,
+    uint64_t version = 0,
+    uint8_t state = 0) {
+  auto name__ = name ? _fbb.CreateString(name) : 0;
+  return fulmar::wire::Createtarget_entry(
       _fbb,
-      bytes__);
+      name__,
+      version,
+      state);
 }
 
-flatbuffers::Offset<block> Createblock(flatbuffers::FlatBufferBuilder &_fbb, const blockT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+flatbuffers::Offset<target_entry> Createtarget_entry(flatbuffers::FlatBufferBuilder &_fbb, const target_entryT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct summary_entryT : public flatbuffers::NativeTable {
+  typedef summary_entry TableType;
+  std::string data_centre{};
+  uint64_t version = 0;
+  uint64_t config_version = 0;
+  uint32_t live_members = 0;
+  std::vector<std::string> delegates{};
+};
+
+struct summary_entry FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef summary_entryT NativeTableType;
+  typedef summary_entryBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_DATA_CENTRE = 4,
+    VT_VERSION = 6,
+    VT_CONFIG_VERSION = 8,
+    VT_LIVE_MEMBERS = 10,
+    VT_DELEGATES = 12
+  };
+  const flatbuffers::String *data_centre() const {
+    return GetPointer<const flatbuffers::String *>(VT_DATA_CENTRE);
+  }
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
+  }
+  uint64_t config_version() const {
+    return GetField<uint64_t>(VT_CONFIG_VERSION, 0);
+  }
+  uint32_t live_members() const {
+    return GetField<uint32_t>(VT_LIVE_MEMBERS, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *delegates() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_DELEGATES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_DATA_CENTRE) &&
+           verifier.VerifyString(data_centre()) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_CONFIG_VERSION, 8) &&
+           VerifyField<uint32_t>(verifier, VT_LIVE_MEMBERS, 4) &&
+           VerifyOffset(verifier, VT_DELEGATES) &&
+           verifier.VerifyVector(delegates()) &&
+           verifier.VerifyVectorOfStrings(delegates()) &&
+           verifier.EndTable();
+  }
+  summary_entryT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(summary_entryT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<summary_entry> Pack(flatbuffers::FlatBufferBuilder &_fbb, const summary_entryT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct summary_entryBuilder {
+  typedef summary_entry Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_data_centre(flatbuffers::Offset<flatbuffers::String> data_centre) {
+    fbb_.AddOffset(summary_entry::VT_DATA_CENTRE, data_centre);
+  }
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(summary_entry::VT_VERSION, version, 0);
+  }
+  void add_config_version(uint64_t config_version) {
+    fbb_.AddElement<uint64_t>(summary_entry::VT_CONFIG_VERSION, config_version, 0);
+  }
+  void add_live_members(uint32_t live_members) {
+    fbb_.AddElement<uint32_t>(summary_entry::VT_LIVE_MEMBERS, live_members, 0);
+  }
+  void add_delegates(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> delegates) {
+    fbb_.AddOffset(summary_entry::VT_DELEGATES, delegates);
+  }
+  explicit summary_entryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<summary_entry> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<summary_entry>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<summary_entry> Createsummary_entry(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> data_centre = 0,
+    uint64_t version = 0,
+    uint64_t config_version = 0,
+    uint32_t live_members = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> delegates = 0) {
+  summary_entryBuilder builder_(_fbb);
+  builder_.add_config_version(config_version);
+  builder_.add_version(version);
+  builder_.add_delegates(delegates);
+  builder_.add_live_members(live_members);
+  builder_.add_data_centre(data_centre);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<summary_entry> Createsummary_entryDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *data_centre = nullptr,
+    uint64_t version = 0,
+    uint64_t config_version = 0,
+    uint32_t live_members = 0,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *delegates = nullptr) {
+  auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
+  auto delegates__ = delegates ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*delegates) : 0;
+  return fulmar::wire::Createsummary_entry(
+      _fbb,
+      data_centre__,
+      version,
+      config_version,
+      live_members,
+      delegates__);
+}
+
+flatbuffers::Offset<summary_entry> Createsummary_entry(flatbuffers::FlatBufferBuilder &_fbb, const summary_entryT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct gossipT : public flatbuffers::NativeTable {
+  typedef gossip TableType;
+  uint8_t kind = 0;
+  uint64_t sequence = 0;
+  std::string from{};
+  std::string data_centre{};
+  uint64_t incarnation = 0;
+  uint64_t digest = 0;
+  uint64_t highest_config_version = 0;
+  std::string target{};
+  std::string target_address{};
+  std::vector<std::unique_ptr<fulmar::wire::member_entryT>> members{};
+  std::vector<std::unique_ptr<fulmar::wire::target_entryT>> targets{};
+  std::vector<std::unique_ptr<fulmar::wire::summary_entryT>> summaries{};
+  gossipT() = default;
+  gossipT(const gossipT &o);
+  gossipT(gossipT&&) FLATBUFFERS_NOEXCEPT = default;
+  gossipT &operator=(gossipT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct gossip FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef gossipT NativeTableType;
+  typedef gossipBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_KIND = 4,
+    VT_SEQUENCE = 6,
+    VT_FROM = 8,
+    VT_DATA_CENTRE = 10,
+    VT_INCARNATION = 12,
+    VT_DIGEST = 14,
+    VT_HIGHEST_CONFIG_VERSION = 16,
+    VT_TARGET = 18,
+    VT_TARGET_ADDRESS = 20,
+    VT_MEMBERS = 22,
+    VT_TARGETS = 24,
+    VT_SUMMARIES = 26
+  };
+  uint8_t kind() const {
+    return GetField<uint8_t>(VT_KIND, 0);
+  }
+  uint64_t sequence() const {
+    return GetField<uint64_t>(VT_SEQUENCE, 0);
+  }
+  const flatbuffers::String *from() const {
+    return GetPointer<const flatbuffers::String *>(VT_FROM);
+  }
+  const flatbuffers::String *data_centre() const {
+    return GetPointer<const flatbuffers::String *>(VT_DATA_CENTRE);
+  }
+  uint64_t incarnation() const {
+    return GetField<uint64_t>(VT_INCARNATION, 0);
+  }
+  uint64_t digest() const {
+    return GetField<uint64_t>(VT_DIGEST, 0);
+  }
+  uint64_t highest_config_version() const {
+    return GetField<uint64_t>(VT_HIGHEST_CONFIG_VERSION, 0);
+  }
+  const flatbuffers::String *target() const {
+    return GetPointer<const flatbuffers::String *>(VT_TARGET);
+  }
+  const flatbuffers::String *target_address() const {
+    return GetPointer<const flatbuffers::String *>(VT_TARGET_ADDRESS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<fulmar::wire::member_entry>> *members() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<fulmar::wire::member_entry>> *>(VT_MEMBERS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<fulmar::wire::target_entry>> *targets() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<fulmar::wire::target_entry>> *>(VT_TARGETS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<fulmar::wire::summary_entry>> *summaries() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<fulmar::wire::summary_entry>> *>(VT_SUMMARIES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
+           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
+           VerifyOffset(verifier, VT_FROM) &&
+           verifier.VerifyString(from()) &&
+           VerifyOffset(verifier, VT_DATA_CENTRE) &&
+           verifier.VerifyString(data_centre()) &&
+           VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_DIGEST, 8) &&
+           VerifyField<uint64_t>(verifier, VT_HIGHEST_CONFIG_VERSION, 8) &&
+           VerifyOffset(verifier, VT_TARGET) &&
+           verifier.VerifyString(target()) &&
+           VerifyOffset(verifier, VT_TARGET_ADDRESS) &&
+           verifier.VerifyString(target_address()) &&
+           VerifyOffset(verifier, VT_MEMBERS) &&
+           verifier.VerifyVector(members()) &&
+           verifier.VerifyVectorOfTables(members()) &&
+           VerifyOffset(verifier, VT_TARGETS) &&
+           verifier.VerifyVector(targets()) &&
+           verifier.VerifyVectorOfTables(targets()) &&
+           VerifyOffset(verifier, VT_SUMMARIES) &&
+           verifier.VerifyVector(summaries()) &&
+           verifier.VerifyVectorOfTables(summaries()) &&
+           verifier.EndTable();
+  }
+  gossipT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(gossipT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<gossip> Pack(flatbuffers::FlatBufferBuilder &_fbb, const gossipT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct gossipBuilder {
+  typedef gossip Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_kind(uint8_t kind) {
+    fbb_.AddElement<uint8_t>(gossip::VT_KIND, kind, 0);
+  }
+  void add_sequence(uint64_t sequence) {
+    fbb_.AddElement<uint64_t>(gossip::VT_SEQUENCE, sequence, 0);
+  }
+  void add_from(flatbuffers::Offset<flatbuffers::String> from) {
+    fbb_.AddOffset(gossip::VT_FROM, from);
+  }
+  void add_data_centre(flatbuffers::Offset<flatbuffers::String> data_centre) {
+    fbb_.AddOffset(gossip::VT_DATA_CENTRE, data_centre);
+  }
+  void add_incarnation(uint64_t incarnation) {
+    fbb_.AddElement<uint64_t>(gossip::VT_INCARNATION, incarnation, 0);
+  }
+  void add_digest(uint64_t digest) {
+    fbb_.AddElement<uint64_t>(gossip::VT_DIGEST, digest, 0);
+  }
+  void add_highest_config_version(uint64_t highest_config_version) {
+    fbb_.AddElement<uint64_t>(gossip::VT_HIGHEST_CONFIG_VERSION, highest_config_version, 0);
+  }
+  void add_target(flatbuffers::Offset<flatbuffers::String> target) {
+    fbb_.AddOffset(gossip::VT_TARGET, target);
+  }
+  void add_target_address(flatbuffers::Offset<flatbuffers::String> target_address) {
+    fbb_.AddOffset(gossip::VT_TARGET_ADDRESS, target_address);
+  }
+  void add_members(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fulmar::wire::member_entry>>> members) {
+    fbb_.AddOffset(gossip::VT_MEMBERS, members);
+  }
+  void add_targets(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fulmar::wire::target_entry>>> targets) {
+    fbb_.AddOffset(gossip::VT_TARGETS, targets);
+  }
+  void add_summaries(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fulmar::wire::summary_entry>>> summaries) {
+    fbb_.AddOffset(gossip::VT_SUMMARIES, summaries);
+  }
+  explicit gossipBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<gossip> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<gossip>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<gossip> Creategossip(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint8_t kind = 0,
+    uint64_t sequence = 0,
+    flatbuffers::Offset<flatbuffers::String> from = 0,
+    flatbuffers::Offset<flatbuffers::String> data_centre = 0,
+    uint64_t incarnation = 0,
+    uint64_t digest = 0,
+    uint64_t highest_config_version = 0,
+    flatbuffers::Offset<flatbuffers::String> target = 0,
+    flatbuffers::Offset<flatbuffers::String> target_address = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fulmar::wire::member_entry>>> members = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fulmar::wire::target_entry>>> targets = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fulmar::wire::summary_entry>>> summaries = 0) {
+  gossipBuilder builder_(_fbb);
+  builder_.add_highest_config_version(highest_config_version);
+  builder_.add_digest(digest);
+  builder_.add_incarnation(incarnation);
+  builder_.add_sequence(sequence);
+  builder_.add_summaries(summaries);
+  builder_.add_targets(targets);
+  builder_.add_members(members);
+  builder_.add_target_address(target_address);
+  builder_.add_target(target);
+  builder_.add_data_centre(data_centre);
+  builder_.add_from(from);
+  builder_.add_kind(kind);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<gossip> CreategossipDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint8_t kind = 0,
+    uint64_t sequence = 0,
+    const char *from = nullptr,
+    const char *data_centre = nullptr,
+    uint64_t incarnation = 0,
+    uint64_t digest = 0,
+    uint64_t highest_config_version = 0,
+    const char *target = nullptr,
+    const char *target_address = nullptr,
+    const std::vector<flatbuffers::Offset<fulmar::wire::member_entry>> *members = nullptr,
+    const std::vector<flatbuffers::Offset<fulmar::wire::target_entry>> *targets = nullptr,
+    const std::vector<flatbuffers::Offset<fulmar::wire::summary_entry>> *summaries = nullptr) {
+  auto from__ = from ? _fbb.CreateString(from) : 0;
+  auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
+  auto target__ = target ? _fbb.CreateString(target) : 0;
+  auto target_address__ = target_address ? _fbb.CreateString(target_address) : 0;
+  auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<fulmar::wire::member_entry>>(*members) : 0;
+  auto targets__ = targets ? _fbb.CreateVector<flatbuffers::Offset<fulmar::wire::target_entry>>(*targets) : 0;
+  auto summaries__ = summaries ? _fbb.CreateVector<flatbuffers::Offset<fulmar::wire::summary_entry>>(*summaries) : 0;
+  return fulmar::wire::Creategossip(
+      _fbb,
+      kind,
+      sequence,
+      from__,
+      data_centre__,
+      incarnation,
+      digest,
+      highest_config_version,
+      target__,
+      target_address__,
+      members__,
+      targets__,
+      summaries__);
+}
+
+flatbuffers::Offset<gossip> Creategossip(flatbuffers::FlatBufferBuilder &_fbb, const gossipT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
 struct envelopeT : public flatbuffers::NativeTable {
   typedef envelope TableType;
@@ -3126,6 +3863,9 @@
     return GetPointer<const void *>(VT_BODY);
   }
   template<typename T> const T *body_as() const;
+  const fulmar::wire::gossip *body_as_gossip() const {
+    return body_type() == fulmar::wire::body::gossip ? static_cast<const fulmar::wire::gossip *>(body()) : nullptr;
+  }
   const fulmar::wire::challenge *body_as_challenge() const {
     return body_type() == fulmar::wire::body::challenge ? static_cast<const fulmar::wire::challenge *>(body()) : nullptr;
   }
@@ -3165,6 +3905,12 @@
   const fulmar::wire::durable *body_as_durable() const {
     return body_type() == fulmar::wire::body::durable ? static_cast<const fulmar::wire::durable *>(body()) : nullptr;
   }
+  const fulmar::wire::witness *body_as_witness() const {
+    return body_type() == fulmar::wire::body::witness ? static_cast<const fulmar::wire::witness *>(body()) : nullptr;
+  }
+  const fulmar::wire::witness_ack *body_as_witness_ack() const {
+    return body_type() == fulmar::wire::body::witness_ack ? static_cast<const fulmar::wire::witness_ack *>(body()) : nullptr;
+  }
   const fulmar::wire::record_result *body_as_record_result() const {
     return body_type() == fulmar::wire::body::record_result ? static_cast<const fulmar::wire::record_result *>(body()) : nullptr;
   }
@@ -3210,6 +3956,10 @@
   static flatbuffers::Offset<envelope> Pack(flatbuffers::FlatBufferBuilder &_fbb, const envelopeT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 };
 
+template<> inline const fulmar::wire::gossip *envelope::body_as<fulmar::wire::gossip>() const {
+  return body_as_gossip();
+}
+
 template<> inline const fulmar::wire::challenge *envelope::body_as<fulmar::wire::challenge>() const {
   return body_as_challenge();
 }
@@ -3262,6 +4012,14 @@
   return body_as_durable();
 }
 
+template<> inline const fulmar::wire::witness *envelope::body_as<fulmar::wire::witness>() const {
+  return body_as_witness();
+}
+
+template<> inline const fulmar::wire::witness_ack *envelope::body_as<fulmar::wire::witness_ack>() const {
+  return body_as_witness_ack();
+}
+
 template<> inline const fulmar::wire::record_result *envelope::body_as<fulmar::wire::record_result>() const {
   return body_as_record_result();
 }
@@ -3852,6 +4610,61 @@
       _number);
 }
 
+inline witnessT *witness::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<witnessT>(new witnessT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void witness::UnPackTo(witnessT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = id(); _o->id = _e; }
+  { auto _e = record(); if (_e) { _o->record.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->record.begin()); } }
+}
+
+inline flatbuffers::Offset<witness> witness::Pack(flatbuffers::FlatBufferBuilder &_fbb, const witnessT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createwitness(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<witness> Createwitness(flatbuffers::FlatBufferBuilder &_fbb, const witnessT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const witnessT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _id = _o->id;
+  auto _record = _o->record.size() ? _fbb.CreateVector(_o->record) : 0;
+  return fulmar::wire::Createwitness(
+      _fbb,
+      _id,
+      _record);
+}
+
+inline witness_ackT *witness_ack::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<witness_ackT>(new witness_ackT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void witness_ack::UnPackTo(witness_ackT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = id(); _o->id = _e; }
+}
+
+inline flatbuffers::Offset<witness_ack> witness_ack::Pack(flatbuffers::FlatBufferBuilder &_fbb, const witness_ackT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createwitness_ack(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<witness_ack> Createwitness_ack(flatbuffers::FlatBufferBuilder &_fbb, const witness_ackT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const witness_ackT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _id = _o->id;
+  return fulmar::wire::Createwitness_ack(
+      _fbb,
+      _id);
+}
+
 inline record_resultT *record_result::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::unique_ptr<record_resultT>(new record_resultT());
   UnPackTo(_o.get(), _resolver);
@@ -4166,18 +4979,6 @@
       _epoch);
 }
 
-inline recordsT::recordsT(const recordsT &o)
-      : id(o.id) {
-  bodies.reserve(o.bodies.size());
-  for (const auto &bodies_ : o.bodies) { bodies.emplace_back((bodies_) ? new fulmar::wire::blockT(*bodies_) : nullptr); }
-}
-
-inline recordsT &recordsT::operator=(recordsT o) FLATBUFFERS_NOEXCEPT {
-  std::swap(id, o.id);
-  std::swap(bodies, o.bodies);
-  return *this;
-}
-
 inline recordsT *records::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::unique_ptr<recordsT>(new recordsT());
   UnPackTo(_o.get(), _resolver);
@@ -4188,7 +4989,7 @@
   (void)_o;
   (void)_resolver;
   { auto _e = id(); _o->id = _e; }
-  { auto _e = bodies(); if (_e) { _o->bodies.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->bodies[_i] = std::unique_ptr<fulmar::wire::blockT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = lines(); if (_e) { _o->lines.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->lines[_i] = _e->Get(_i)->str(); } } }
 }
 
 inline flatbuffers::Offset<records> records::Pack(flatbuffers::FlatBufferBuilder &_fbb, const recordsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4200,37 +5001,224 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const recordsT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _id = _o->id;
-  auto _bodies = _o->bodies.size() ? _fbb.CreateVector<flatbuffers::Offset<fulmar::wire::block>> (_o->bodies.size(), [](size_t i, _VectorArgs *__va) { return Createblock(*__va->__fbb, __va->__o->bodies[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _lines = _o->lines.size() ? _fbb.CreateVectorOfStrings(_o->lines) : 0;
   return fulmar::wire::Createrecords(
       _fbb,
       _id,
-      _bodies);
+      _lines);
+}
+
+inline member_entryT *member_entry::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<member_entryT>(new member_entryT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void member_entry::UnPackTo(member_entryT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = name(); if (_e) _o->name = _e->str(); }
+  { auto _e = peer_address(); if (_e) _o->peer_address = _e->str(); }
+  { auto _e = http_address(); if (_e) _o->http_address = _e->str(); }
+  { auto _e = incarnation(); _o->incarnation = _e; }
+  { auto _e = start(); _o->start = _e; }
+  { auto _e = config_version(); _o->config_version = _e; }
+  { auto _e = state(); _o->state = _e; }
+  { auto _e = ready(); _o->ready = _e; }
+  { auto _e = leaving(); _o->leaving = _e; }
+}
+
+inline flatbuffers::Offset<member_entry> member_entry::Pack(flatbuffers::FlatBufferBuilder &_fbb, const member_entryT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createmember_entry(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<member_entry> Createmember_entry(flatbuffers::FlatBufferBuilder &_fbb, const member_entryT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const member_entryT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _name = _o->name.empty() ? 0 : _fbb.CreateString(_o->name);
+  auto _peer_address = _o->peer_address.empty() ? 0 : _fbb.CreateString(_o->peer_address);
+  auto _http_address = _o->http_address.empty() ? 0 : _fbb.CreateString(_o->http_address);
+  auto _incarnation = _o->incarnation;
+  auto _start = _o->start;
+  auto _config_version = _o->config_version;
+  auto _state = _o->state;
+  auto _ready = _o->ready;
+  auto _leaving = _o->leaving;
+  return fulmar::wire::Createmember_entry(
+      _fbb,
+      _name,
+      _peer_address,
+      _http_address,
+      _incarnation,
+      _start,
+      _config_version,
+      _state,
+      _ready,
+      _leaving);
+}
+
+inline target_entryT *target_entry::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<target_entryT>(new target_entryT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void target_entry::UnPackTo(target_entryT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = name(); if (_e) _o->name = _e->str(); }
+  { auto _e = version(); _o->version = _e; }
+  { auto _e = state(); _o->state = _e; }
+}
+
+inline flatbuffers::Offset<target_entry> target_entry::Pack(flatbuffers::FlatBufferBuilder &_fbb, const target_entryT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createtarget_entry(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<target_entry> Createtarget_entry(flatbuffers::FlatBufferBuilder &_fbb, const target_entryT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const target_entryT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _name = _o->name.empty() ? 0 : _fbb.CreateString(_o->name);
+  auto _version = _o->version;
+  auto _state = _o->state;
+  return fulmar::wire::Createtarget_entry(
+      _fbb,
+      _name,
+      _version,
+      _state);
 }
 
-inline blockT *block::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::unique_ptr<blockT>(new blockT());
+inline summary_entryT *summary_entry::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<summary_entryT>(new summary_entryT());
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void block::UnPackTo(blockT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void summary_entry::UnPackTo(summary_entryT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = bytes(); if (_e) { _o->bytes.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->bytes.begin()); } }
+  { auto _e = data_centre(); if (_e) _o->data_centre = _e->str(); }
+  { auto _e = version(); _o->version = _e; }
+  { auto _e = config_version(); _o->config_version = _e; }
+  { auto _e = live_members(); _o->live_members = _e; }
+  { auto _e = delegates(); if (_e) { _o->delegates.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->delegates[_i] = _e->Get(_i)->str(); } } }
 }
 
-inline flatbuffers::Offset<block> block::Pack(flatbuffers::FlatBufferBuilder &_fbb, const blockT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return Createblock(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<summary_entry> summary_entry::Pack(flatbuffers::FlatBufferBuilder &_fbb, const summary_entryT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createsummary_entry(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<block> Createblock(flatbuffers::FlatBufferBuilder &_fbb, const blockT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<summary_entry> Createsummary_entry(flatbuffers::FlatBufferBuilder &_fbb, const summary_entryT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const blockT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _bytes = _o->bytes.size() ? _fbb.CreateVector(_o->bytes) : 0;
-  return fulmar::wire::Createblock(
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const summary_entryT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _data_centre = _o->data_centre.empty() ? 0 : _fbb.CreateString(_o->data_centre);
+  auto _version = _o->version;
+  auto _config_version = _o->config_version;
+  auto _live_members = _o->live_members;
+  auto _delegates = _o->delegates.size() ? _fbb.CreateVectorOfStrings(_o->delegates) : 0;
+  return fulmar::wire::Createsummary_entry(
       _fbb,
-      _bytes);
+      _data_centre,
+      _version,
+      _config_version,
+      _live_members,
+      _delegates);
+}
+
+inline gossipT::gossipT(const gossipT &o)
+      : kind(o.kind),
+        sequence(o.sequence),
+        from(o.from),
+        data_centre(o.data_centre),
+        incarnation(o.incarnation),
+        digest(o.digest),
+        highest_config_version(o.highest_config_version),
+        target(o.target),
+        target_address(o.target_address) {
+  members.reserve(o.members.size());
+  for (const auto &members_ : o.members) { members.emplace_back((members_) ? new fulmar::wire::member_entryT(*members_) : nullptr); }
+  targets.reserve(o.targets.size());
+  for (const auto &targets_ : o.targets) { targets.emplace_back((targets_) ? new fulmar::wire::target_entryT(*targets_) : nullptr); }
+  summaries.reserve(o.summaries.size());
+  for (const auto &summaries_ : o.summaries) { summaries.emplace_back((summaries_) ? new fulmar::wire::summary_entryT(*summaries_) : nullptr); }
+}
+
+inline gossipT &gossipT::operator=(gossipT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(kind, o.kind);
+  std::swap(sequence, o.sequence);
+  std::swap(from, o.from);
+  std::swap(data_centre, o.data_centre);
+  std::swap(incarnation, o.incarnation);
+  std::swap(digest, o.digest);
+  std::swap(highest_config_version, o.highest_config_version);
+  std::swap(target, o.target);
+  std::swap(target_address, o.target_address);
+  std::swap(members, o.members);
+  std::swap(targets, o.targets);
+  std::swap(summaries, o.summaries);
+  return *this;
+}
+
+inline gossipT *gossip::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<gossipT>(new gossipT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void gossip::UnPackTo(gossipT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = kind(); _o->kind = _e; }
+  { auto _e = sequence(); _o->sequence = _e; }
+  { auto _e = from(); if (_e) _o->from = _e->str(); }
+  { auto _e = data_centre(); if (_e) _o->data_centre = _e->str(); }
+  { auto _e = incarnation(); _o->incarnation = _e; }
+  { auto _e = digest(); _o->digest = _e; }
+  { auto _e = highest_config_version(); _o->highest_config_version = _e; }
+  { auto _e = target(); if (_e) _o->target = _e->str(); }
+  { auto _e = target_address(); if (_e) _o->target_address = _e->str(); }
+  { auto _e = members(); if (_e) { _o->members.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->members[_i] = std::unique_ptr<fulmar::wire::member_entryT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = targets(); if (_e) { _o->targets.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->targets[_i] = std::unique_ptr<fulmar::wire::target_entryT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = summaries(); if (_e) { _o->summaries.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->summaries[_i] = std::unique_ptr<fulmar::wire::summary_entryT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<gossip> gossip::Pack(flatbuffers::FlatBufferBuilder &_fbb, const gossipT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Creategossip(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<gossip> Creategossip(flatbuffers::FlatBufferBuilder &_fbb, const gossipT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const gossipT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _kind = _o->kind;
+  auto _sequence = _o->sequence;
+  auto _from = _o->from.empty() ? 0 : _fbb.CreateString(_o->from);
+  auto _data_centre = _o->data_centre.empty() ? 0 : _fbb.CreateString(_o->data_centre);
+  auto _incarnation = _o->incarnation;
+  auto _digest = _o->digest;
+  auto _highest_config_version = _o->highest_config_version;
+  auto _target = _o->target.empty() ? 0 : _fbb.CreateString(_o->target);
+  auto _target_address = _o->target_address.empty() ? 0 : _fbb.CreateString(_o->target_address);
+  auto _members = _o->members.size() ? _fbb.CreateVector<flatbuffers::Offset<fulmar::wire::member_entry>> (_o->members.size(), [](size_t i, _VectorArgs *__va) { return Createmember_entry(*__va->__fbb, __va->__o->members[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _targets = _o->targets.size() ? _fbb.CreateVector<flatbuffers::Offset<fulmar::wire::target_entry>> (_o->targets.size(), [](size_t i, _VectorArgs *__va) { return Createtarget_entry(*__va->__fbb, __va->__o->targets[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _summaries = _o->summaries.size() ? _fbb.CreateVector<flatbuffers::Offset<fulmar::wire::summary_entry>> (_o->summaries.size(), [](size_t i, _VectorArgs *__va) { return Createsummary_entry(*__va->__fbb, __va->__o->summaries[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return fulmar::wire::Creategossip(
+      _fbb,
+      _kind,
+      _sequence,
+      _from,
+      _data_centre,
+      _incarnation,
+      _digest,
+      _highest_config_version,
+      _target,
+      _target_address,
+      _members,
+      _targets,
+      _summaries);
 }
 
 inline envelopeT *envelope::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -4267,6 +5255,10 @@
     case body::NONE: {
       return true;
     }
+    case body::gossip: {
+      auto ptr = reinterpret_cast<const fulmar::wire::gossip *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     case body::challenge: {
       auto ptr = reinterpret_cast<const fulmar::wire::challenge *>(obj);
       return verifier.VerifyTable(ptr);
@@ -4319,6 +5311,14 @@
       auto ptr = reinterpret_cast<const fulmar::wire::durable *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case body::witness: {
+      auto ptr = reinterpret_cast<const fulmar::wire::witness *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case body::witness_ack: {
+      auto ptr = reinterpret_cast<const fulmar::wire::witness_ack *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     case body::record_result: {
       auto ptr = reinterpret_cast<const fulmar::wire::record_result *>(obj);
       return verifier.VerifyTable(ptr);
@@ -4382,6 +5382,10 @@
 inline void *bodyUnion::UnPack(const void *obj, body type, const flatbuffers::resolver_function_t *resolver) {
   (void)resolver;
   switch (type) {
+    case body::gossip: {
+      auto ptr = reinterpret_cast<const fulmar::wire::gossip *>(obj);
+      return ptr->UnPack(resolver);
+    }
     case body::challenge: {
       auto ptr = reinterpret_cast<const fulmar::wire::challenge *>(obj);
       return ptr->UnPack(resolver);
@@ -4434,6 +5438,14 @@
       auto ptr = reinterpret_cast<const fulmar::wire::durable *>(obj);
       return ptr->UnPack(resolver);
     }
+    case body::witness: {
+      auto ptr = reinterpret_cast<const fulmar::wire::witness *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case body::witness_ack: {
+      auto ptr = reinterpret_cast<const fulmar::wire::witness_ack *>(obj);
+      return ptr->UnPack(resolver);
+    }
     case body::record_result: {
       auto ptr = reinterpret_cast<const fulmar::wire::record_result *>(obj);
       return ptr->UnPack(resolver);
@@ -4485,6 +5497,10 @@
 inline flatbuffers::Offset<void> bodyUnion::Pack(flatbuffers::FlatBufferBuilder &_fbb, const flatbuffers::rehasher_function_t *_rehasher) const {
   (void)_rehasher;
   switch (type) {
+    case body::gossip: {
+      auto ptr = reinterpret_cast<const fulmar::wire::gossipT *>(value);
+      return Creategossip(_fbb, ptr, _rehasher).Union();
+    }
     case body::challenge: {
       auto ptr = reinterpret_cast<const fulmar::wire::challengeT *>(value);
       return Createchallenge(_fbb, ptr, _rehasher).Union();
@@ -4537,6 +5553,14 @@
       auto ptr = reinterpret_cast<const fulmar::wire::durableT *>(value);
       return Createdurable(_fbb, ptr, _rehasher).Union();
     }
+    case body::witness: {
+      auto ptr = reinterpret_cast<const fulmar::wire::witnessT *>(value);
+      return Createwitness(_fbb, ptr, _rehasher).Union();
+    }
+    case body::witness_ack: {
+      auto ptr = reinterpret_cast<const fulmar::wire::witness_ackT *>(value);
+      return Createwitness_ack(_fbb, ptr, _rehasher).Union();
+    }
     case body::record_result: {
       auto ptr = reinterpret_cast<const fulmar::wire::record_resultT *>(value);
       return Createrecord_result(_fbb, ptr, _rehasher).Union();
@@ -4587,6 +5611,10 @@
 
 inline bodyUnion::bodyUnion(const bodyUnion &u) : type(u.type), value(nullptr) {
   switch (type) {
+    case body::gossip: {
+      value = new fulmar::wire::gossipT(*reinterpret_cast<fulmar::wire::gossipT *>(u.value));
+      break;
+    }
     case body::challenge: {
       value = new fulmar::wire::challengeT(*reinterpret_cast<fulmar::wire::challengeT *>(u.value));
       break;
@@ -4639,6 +5667,14 @@
       value = new fulmar::wire::durableT(*reinterpret_cast<fulmar::wire::durableT *>(u.value));
       break;
     }
+    case body::witness: {
+      value = new fulmar::wire::witnessT(*reinterpret_cast<fulmar::wire::witnessT *>(u.value));
+      break;
+    }
+    case body::witness_ack: {
+      value = new fulmar::wire::witness_ackT(*reinterpret_cast<fulmar::wire::witness_ackT *>(u.value));
+      break;
+    }
     case body::record_result: {
       value = new fulmar::wire::record_resultT(*reinterpret_cast<fulmar::wire::record_resultT *>(u.value));
       break;
@@ -4690,6 +5726,11 @@
 
 inline void bodyUnion::Reset() {
   switch (type) {
+    case body::gossip: {
+      auto ptr = reinterpret_cast<fulmar::wire::gossipT *>(value);
+      delete ptr;
+      break;
+    }
     case body::challenge: {
       auto ptr = reinterpret_cast<fulmar::wire::challengeT *>(value);
       delete ptr;
@@ -4755,6 +5796,16 @@
       delete ptr;
       break;
     }
+    case body::witness: {
+      auto ptr = reinterpret_cast<fulmar::wire::witnessT *>(value);
+      delete ptr;
+      break;
+    }
+    case body::witness_ack: {
+      auto ptr = reinterpret_cast<fulmar::wire::witness_ackT *>(value);
+      delete ptr;
+      break;
+    }
     case body::record_result: {
       auto ptr = reinterpret_cast<fulmar::wire::record_resultT *>(value);
       delete ptr;
--- a/src/daemon/completion.cc
+++ b/src/daemon/completion.cc
@@ -34,8 +34,8 @@
 std::vector<std::uint64_t> hash_blocks(std::string_view prompt) {
   auto out = std::vector<std::uint64_t>();
   auto last = std::uint64_t{0};
-  for (auto end = block_bytes;
-       end <= prompt.size() && out.size() < most_blocks; end += block_bytes) {
+  for (auto end = block_bytes; end <= prompt.size() && out.size() < most_blocks;
+       end += block_bytes) {
     auto block = prompt.substr(end - block_bytes, block_bytes);
     last = stable_hash(concat(hex(last), block));
     out.push_back(last);
@@ -145,8 +145,7 @@
 
 std::string whole_answer(const completion_request& request,
                          std::string_view request_id, std::string_view text,
-                         std::uint32_t tokens,
-                         std::string_view finish_reason) {
+                         std::uint32_t tokens, std::string_view finish_reason) {
   auto is_chat = request.form == completion_form::chat;
   auto content = json::string(text.data(), text.size());
   auto reason = json::string(finish_reason.data(), finish_reason.size());
@@ -161,12 +160,12 @@
       {"completion_tokens", tokens},
       {"total_tokens", request.prompt_tokens + tokens},
   };
-  return json::serialize(json::object{
-      {"id", json::string(request_id.data(), request_id.size())},
-      {"object", is_chat ? "chat.completion" : "text_completion"},
-      {"model", request.model},
-      {"choices", json::array{std::move(first)}},
-      {"usage", std::move(usage)}});
+  return json::serialize(
+      json::object{{"id", json::string(request_id.data(), request_id.size())},
+                   {"object", is_chat ? "chat.completion" : "text_completion"},
+                   {"model", request.model},
+                   {"choices", json::array{std::move(first)}},
+                   {"usage", std::move(usage)}});
 }
 
 std::vector<std::string> event_splitter::feed(std::string_view piece) {
--- a/src/fakes/engine.cc
+++ b/src/fakes/engine.cc
@@ -77,8 +77,8 @@
     serve_counts(it);
     return;
   }
-  auto id = std::string(find_header(it->request().headers,
-                                    "fulmar-request-id"));
+  auto id =
+      std::string(find_header(it->request().headers, "fulmar-request-id"));
   ++runs[id];
   if (path == "/v1/completions") {
     serve_completion(it, false);
@@ -90,14 +90,13 @@
   }
 }
 
-void fake_engine::impl::serve_completion(const exchange_ptr& it,
-                                         bool is_chat) {
+void fake_engine::impl::serve_completion(const exchange_ptr& it, bool is_chat) {
   auto ec = json::error_code();
   auto value = json::parse(it->request().body, ec);
   const auto* body = ec ? nullptr : value.if_object();
-  const auto* prompt =
-      body == nullptr ? nullptr
-                      : body->if_contains(is_chat ? "messages" : "prompt");
+  const auto* prompt = body == nullptr
+                           ? nullptr
+                           : body->if_contains(is_chat ? "messages" : "prompt");
   if (prompt == nullptr) {
     it->respond({.status = http_status(error_code::bad_request)});
     return;
@@ -164,7 +163,8 @@
 
 void fake_engine::impl::serve_counts(const exchange_ptr& it) const {
   auto out = json::object();
-  for (const auto& [id, n] : runs) out[id] = n;
+  for (const auto& [id, n] : runs)
+    out[id] = n;
   it->respond({.headers = {{"Content-Type", "application/json"}},
                .body = json::serialize(out)});
 }
@@ -172,7 +172,9 @@
 fake_engine::fake_engine(event_loop& loop, fake_engine_options options)
     : impl_(std::make_shared<impl>(loop, std::move(options))) {}
 
-fake_engine::~fake_engine() { crash(); }
+fake_engine::~fake_engine() {
+  crash();
+}
 
 absl::Status fake_engine::start() {
   impl_->server = std::make_unique<http_server>(
@@ -183,11 +185,17 @@
   return impl_->server->start();
 }
 
-std::uint16_t fake_engine::port() const { return impl_->server->port(); }
+std::uint16_t fake_engine::port() const {
+  return impl_->server->port();
+}
 
-const run_counts& fake_engine::runs() const { return impl_->runs; }
+const run_counts& fake_engine::runs() const {
+  return impl_->runs;
+}
 
-std::size_t fake_engine::running() const { return impl_->running.size(); }
+std::size_t fake_engine::running() const {
+  return impl_->running.size();
+}
 
 void fake_engine::crash() {
   impl_->crashed = true;
@@ -196,9 +204,9 @@
 }
 
 std::string fake_token(std::string_view prompt, std::uint32_t index) {
-  constexpr auto words = std::array<std::string_view, 8>{
-      " milk", " step", " round", " bottle", " route", " crate", " duct",
-      " note"};
+  constexpr auto words =
+      std::array<std::string_view, 8>{" milk",  " step",  " round", " bottle",
+                                      " route", " crate", " duct",  " note"};
   auto hash = stable_hash(concat(prompt, "|", index));
   return concat(words[hash % words.size()], "-", index);
 }
