--- a/include/fulmarpitch/config/tickets.h
+++ b/include/fulmarpitch/config/tickets.h
@@ -163,6 +163,10 @@
 void submit_ticket(const config_stores& stores, ticket value, instant now,
                    callback<ticket_answer> done);
 
+/// Reads the head out of its row.
+/// \return the head, version 0 for an absent row, or `internal`.
+absl::StatusOr<config_head> parse_head(const table_row& row);
+
 /// Reads the newest version; version 0 before the first ticket.
 void read_head(const config_stores& stores, callback<config_head> done);
 
--- a/src/config/tickets.cc
+++ b/src/config/tickets.cc
@@ -100,11 +100,6 @@
   }
 }
 
-absl::StatusOr<config_head> head_in(const table_row& row) {
-  if (row.version == 0) return config_head{};
-  return parse_row(row.value, read_head_fields);
-}
-
 /// One ticket on its way into the stores.
 class submission : public std::enable_shared_from_this<submission> {
  public:
@@ -185,7 +180,7 @@
                                   std::move(done));
         },
         [me = shared_from_this()](const table_row& row) {
-          const auto head = head_in(row);
+          const auto head = parse_head(row);
           if (!head.ok()) return me->fail(head.status());
           me->head_row_version_ = row.version;
           me->load_snapshot(*head);
@@ -336,6 +331,11 @@
 
 }  // namespace
 
+absl::StatusOr<config_head> parse_head(const table_row& row) {
+  if (row.version == 0) return config_head{};
+  return parse_row(row.value, read_head_fields);
+}
+
 void submit_ticket(const config_stores& stores, ticket value, instant now,
                    callback<ticket_answer> done) {
   std::make_shared<submission>(stores, std::move(value), now, std::move(done))
@@ -346,7 +346,7 @@
   stores.tables.read(std::string(config_head_key),
                      [done](const absl::StatusOr<table_row>& row) {
                        if (!row.ok()) return done(row.status());
-                       done(head_in(*row));
+                       done(parse_head(*row));
                      });
 }
 
