--- a/include/fulmarpitch/net/peer_generated.h
+++ b/include/fulmarpitch/net/peer_generated.h
@@ -96,10 +96,6 @@
 struct claim_ackBuilder;
 struct claim_ackT;
 
-struct append_segment;
-struct append_segmentBuilder;
-struct append_segmentT;
-
 struct find_pending;
 struct find_pendingBuilder;
 struct find_pendingT;
@@ -166,18 +162,17 @@
   record_ack = 18,
   claim = 19,
   claim_ack = 20,
-  append_segment = 21,
-  find_pending = 22,
-  found_pending = 23,
-  get_snapshot = 24,
-  snapshot = 25,
-  get_records = 26,
-  records = 27,
+  find_pending = 21,
+  found_pending = 22,
+  get_snapshot = 23,
+  snapshot = 24,
+  get_records = 25,
+  records = 26,
   MIN = NONE,
   MAX = records
 };
 
-inline const body (&EnumValuesbody())[28] {
+inline const body (&EnumValuesbody())[27] {
   static const body values[] = {
     body::NONE,
     body::gossip,
@@ -200,7 +195,6 @@
     body::record_ack,
     body::claim,
     body::claim_ack,
-    body::append_segment,
     body::find_pending,
     body::found_pending,
     body::get_snapshot,
@@ -212,7 +206,7 @@
 }
 
 inline const char * const *EnumNamesbody() {
-  static const char * const names[29] = {
+  static const char * const names[28] = {
     "NONE",
     "gossip",
     "challenge",
@@ -234,7 +228,6 @@
     "record_ack",
     "claim",
     "claim_ack",
-    "append_segment",
     "find_pending",
     "found_pending",
     "get_snapshot",
@@ -336,10 +329,6 @@
   static const body enum_value = body::claim_ack;
 };
 
-template<> struct bodyTraits<fulmar::wire::append_segment> {
-  static const body enum_value = body::append_segment;
-};
-
 template<> struct bodyTraits<fulmar::wire::find_pending> {
   static const body enum_value = body::find_pending;
 };
@@ -448,10 +437,6 @@
   static const body enum_value = body::claim_ack;
 };
 
-template<> struct bodyUnionTraits<fulmar::wire::append_segmentT> {
-  static const body enum_value = body::append_segment;
-};
-
 template<> struct bodyUnionTraits<fulmar::wire::find_pendingT> {
   static const body enum_value = body::find_pending;
 };
@@ -666,14 +651,6 @@
     return type == body::claim_ack ?
       reinterpret_cast<const fulmar::wire::claim_ackT *>(value) : nullptr;
   }
-  fulmar::wire::append_segmentT *Asappend_segment() {
-    return type == body::append_segment ?
-      reinterpret_cast<fulmar::wire::append_segmentT *>(value) : nullptr;
-  }
-  const fulmar::wire::append_segmentT *Asappend_segment() const {
-    return type == body::append_segment ?
-      reinterpret_cast<const fulmar::wire::append_segmentT *>(value) : nullptr;
-  }
   fulmar::wire::find_pendingT *Asfind_pending() {
     return type == body::find_pending ?
       reinterpret_cast<fulmar::wire::find_pendingT *>(value) : nullptr;
@@ -2487,7 +2464,9 @@
 struct claimT : public flatbuffers::NativeTable {
   typedef claim TableType;
   uint64_t id = 0;
-  std::string key{};
+  uint8_t kind = 0;
+  std::string subject{};
+  std::string claimant{};
   std::string value{};
 };
 
@@ -2496,14 +2475,22 @@
   typedef claimBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ID = 4,
-    VT_KEY = 6,
-    VT_VALUE = 8
+    VT_KIND = 6,
+    VT_SUBJECT = 8,
+    VT_CLAIMANT = 10,
+    VT_VALUE = 12
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
   }
-  const flatbuffers::String *key() const {
-    return GetPointer<const flatbuffers::String *>(VT_KEY);
+  uint8_t kind() const {
+    return GetField<uint8_t>(VT_KIND, 0);
+  }
+  const flatbuffers::String *subject() const {
+    return GetPointer<const flatbuffers::String *>(VT_SUBJECT);
+  }
+  const flatbuffers::String *claimant() const {
+    return GetPointer<const flatbuffers::String *>(VT_CLAIMANT);
   }
   const flatbuffers::String *value() const {
     return GetPointer<const flatbuffers::String *>(VT_VALUE);
@@ -2511,8 +2498,11 @@
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
-           VerifyOffset(verifier, VT_KEY) &&
-           verifier.VerifyString(key()) &&
+           VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
+           VerifyOffset(verifier, VT_SUBJECT) &&
+           verifier.VerifyString(subject()) &&
+           VerifyOffset(verifier, VT_CLAIMANT) &&
+           verifier.VerifyString(claimant()) &&
            VerifyOffset(verifier, VT_VALUE) &&
            verifier.VerifyString(value()) &&
            verifier.EndTable();
@@ -2529,8 +2519,14 @@
   void add_id(uint64_t id) {
     fbb_.AddElement<uint64_t>(claim::VT_ID, id, 0);
   }
-  void add_key(flatbuffers::Offset<flatbuffers::String> key) {
-    fbb_.AddOffset(claim::VT_KEY, key);
+  void add_kind(uint8_t kind) {
+    fbb_.AddElement<uint8_t>(claim::VT_KIND, kind, 0);
+  }
+  void add_subject(flatbuffers::Offset<flatbuffers::String> subject) {
+    fbb_.AddOffset(claim::VT_SUBJECT, subject);
+  }
+  void add_claimant(flatbuffers::Offset<flatbuffers::String> claimant) {
+    fbb_.AddOffset(claim::VT_CLAIMANT, claimant);
   }
   void add_value(flatbuffers::Offset<flatbuffers::String> value) {
     fbb_.AddOffset(claim::VT_VALUE, value);
@@ -2549,26 +2545,35 @@
 inline flatbuffers::Offset<claim> Createclaim(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t id = 0,
-    flatbuffers::Offset<flatbuffers::String> key = 0,
+    uint8_t kind = 0,
+    flatbuffers::Offset<flatbuffers::String> subject = 0,
+    flatbuffers::Offset<flatbuffers::String> claimant = 0,
     flatbuffers::Offset<flatbuffers::String> value = 0) {
   claimBuilder builder_(_fbb);
   builder_.add_id(id);
   builder_.add_value(value);
-  builder_.add_key(key);
+  builder_.add_claimant(claimant);
+  builder_.add_subject(subject);
+  builder_.add_kind(kind);
   return builder_.Finish();
 }
 
 inline flatbuffers::Offset<claim> CreateclaimDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t id = 0,
-    const char *key = nullptr,
+    uint8_t kind = 0,
+    const char *subject = nullptr,
+    const char *claimant = nullptr,
     const char *value = nullptr) {
-  auto key__ = key ? _fbb.CreateString(key) : 0;
+  auto subject__ = subject ? _fbb.CreateString(subject) : 0;
+  auto claimant__ = claimant ? _fbb.CreateString(claimant) : 0;
   auto value__ = value ? _fbb.CreateString(value) : 0;
   return fulmar::wire::Createclaim(
       _fbb,
       id,
-      key__,
+      kind,
+      subject__,
+      claimant__,
       value__);
 }
 
@@ -2579,7 +2584,8 @@
   uint64_t id = 0;
   uint8_t code = 0;
   bool granted = false;
-  std::string existing{};
+  std::string claimant{};
+  std::string value{};
 };
 
 struct claim_ack FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2589,7 +2595,8 @@
     VT_ID = 4,
     VT_CODE = 6,
     VT_GRANTED = 8,
-    VT_EXISTING = 10
+    VT_CLAIMANT = 10,
+    VT_VALUE = 12
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -2600,16 +2607,21 @@
   bool granted() const {
     return GetField<uint8_t>(VT_GRANTED, 0) != 0;
   }
-  const flatbuffers::String *existing() const {
-    return GetPointer<const flatbuffers::String *>(VT_EXISTING);
+  const flatbuffers::String *claimant() const {
+    return GetPointer<const flatbuffers::String *>(VT_CLAIMANT);
+  }
+  const flatbuffers::String *value() const {
+    return GetPointer<const flatbuffers::String *>(VT_VALUE);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
            VerifyField<uint8_t>(verifier, VT_CODE, 1) &&
            VerifyField<uint8_t>(verifier, VT_GRANTED, 1) &&
-           VerifyOffset(verifier, VT_EXISTING) &&
-           verifier.VerifyString(existing()) &&
+           VerifyOffset(verifier, VT_CLAIMANT) &&
+           verifier.VerifyString(claimant()) &&
+           VerifyOffset(verifier, VT_VALUE) &&
+           verifier.VerifyString(value()) &&
            verifier.EndTable();
   }
   claim_ackT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2630,8 +2642,11 @@
   void add_granted(bool granted) {
     fbb_.AddElement<uint8_t>(claim_ack::VT_GRANTED, static_cast<uint8_t>(granted), 0);
   }
-  void add_existing(flatbuffers::Offset<flatbuffers::String> existing) {
-    fbb_.AddOffset(claim_ack::VT_EXISTING, existing);
+  void add_claimant(flatbuffers::Offset<flatbuffers::String> claimant) {
+    fbb_.AddOffset(claim_ack::VT_CLAIMANT, claimant);
+  }
+  void add_value(flatbuffers::Offset<flatbuffers::String> value) {
+    fbb_.AddOffset(claim_ack::VT_VALUE, value);
   }
   explicit claim_ackBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -2649,10 +2664,12 @@
     uint64_t id = 0,
     uint8_t code = 0,
     bool granted = false,
-    flatbuffers::Offset<flatbuffers::String> existing = 0) {
+    flatbuffers::Offset<flatbuffers::String> claimant = 0,
+    flatbuffers::Offset<flatbuffers::String> value = 0) {
   claim_ackBuilder builder_(_fbb);
   builder_.add_id(id);
-  builder_.add_existing(existing);
+  builder_.add_value(value);
+  builder_.add_claimant(claimant);
   builder_.add_granted(granted);
   builder_.add_code(code);
   return builder_.Finish();
@@ -2663,108 +2680,21 @@
     uint64_t id = 0,
     uint8_t code = 0,
     bool granted = false,
-    const char *existing = nullptr) {
-  auto existing__ = existing ? _fbb.CreateString(existing) : 0;
+    const char *claimant = nullptr,
+    const char *value = nullptr) {
+  auto claimant__ = claimant ? _fbb.CreateString(claimant) : 0;
+  auto value__ = value ? _fbb.CreateString(value) : 0;
   return fulmar::wire::Createclaim_ack(
       _fbb,
       id,
       code,
       granted,
-      existing__);
+      claimant__,
+      value__);
 }
 
 flatbuffers::Offset<claim_ack> Createclaim_ack(flatbuffers::FlatBufferBuilder &_fbb, const claim_ackT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct append_segmentT : public flatbuffers::NativeTable {
-  typedef append_segment TableType;
-  uint64_t id = 0;
-  std::string name{};
-  std::vector<uint8_t> body{};
-};
-
-struct append_segment FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef append_segmentT NativeTableType;
-  typedef append_segmentBuilder Builder;
-  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_ID = 4,
-    VT_NAME = 6,
-    VT_BODY = 8
-  };
-  uint64_t id() const {
-    return GetField<uint64_t>(VT_ID, 0);
-  }
-  const flatbuffers::String *name() const {
-    return GetPointer<const flatbuffers::String *>(VT_NAME);
-  }
-  const flatbuffers::Vector<uint8_t> *body() const {
-    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_BODY);
-  }
-  bool Verify(flatbuffers::Verifier &verifier) const {
-    return VerifyTableStart(verifier) &&
-           VerifyField<uint64_t>(verifier, VT_ID, 8) &&
-           VerifyOffset(verifier, VT_NAME) &&
-           verifier.VerifyString(name()) &&
-           VerifyOffset(verifier, VT_BODY) &&
-           verifier.VerifyVector(body()) &&
-           verifier.EndTable();
-  }
-  append_segmentT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(append_segmentT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<append_segment> Pack(flatbuffers::FlatBufferBuilder &_fbb, const append_segmentT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
-};
-
-struct append_segmentBuilder {
-  typedef append_segment Table;
-  flatbuffers::FlatBufferBuilder &fbb_;
-  flatbuffers::uoffset_t start_;
-  void add_id(uint64_t id) {
-    fbb_.AddElement<uint64_t>(append_segment::VT_ID, id, 0);
-  }
-  void add_name(flatbuffers::Offset<flatbuffers::String> name) {
-    fbb_.AddOffset(append_segment::VT_NAME, name);
-  }
-  void add_body(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body) {
-    fbb_.AddOffset(append_segment::VT_BODY, body);
-  }
-  explicit append_segmentBuilder(flatbuffers::FlatBufferBuilder &_fbb)
-        : fbb_(_fbb) {
-    start_ = fbb_.StartTable();
-  }
-  flatbuffers::Offset<append_segment> Finish() {
-    const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<append_segment>(end);
-    return o;
-  }
-};
-
-inline flatbuffers::Offset<append_segment> Createappend_segment(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t id = 0,
-    flatbuffers::Offset<flatbuffers::String> name = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body = 0) {
-  append_segmentBuilder builder_(_fbb);
-  builder_.add_id(id);
-  builder_.add_body(body);
-  builder_.add_name(name);
-  return builder_.Finish();
-}
-
-inline flatbuffers::Offset<append_segment> Createappend_segmentDirect(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t id = 0,
-    const char *name = nullptr,
-    const std::vector<uint8_t> *body = nullptr) {
-  auto name__ = name ? _fbb.CreateString(name) : 0;
-  auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
-  return fulmar::wire::Createappend_segment(
-      _fbb,
-      id,
-      name__,
-      body__);
-}
-
-flatbuffers::Offset<append_segment> Createappend_segment(flatbuffers::FlatBufferBuilder &_fbb, const append_segmentT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
-
 struct find_pendingT : public flatbuffers::NativeTable {
   typedef find_pending TableType;
   uint64_t id = 0;
@@ -3627,7 +3557,7 @@
   std::string from{};
   std::string data_centre{};
   uint64_t incarnation = 0;
-  uint64_t digest = 0;
+  std::vector<uint64_t> digest{};
   uint64_t highest_config_version = 0;
   std::string target{};
   std::string target_address{};
@@ -3672,8 +3602,8 @@
   uint64_t incarnation() const {
     return GetField<uint64_t>(VT_INCARNATION, 0);
   }
-  uint64_t digest() const {
-    return GetField<uint64_t>(VT_DIGEST, 0);
+  const flatbuffers::Vector<uint64_t> *digest() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_DIGEST);
   }
   uint64_t highest_config_version() const {
     return GetField<uint64_t>(VT_HIGHEST_CONFIG_VERSION, 0);
@@ -3702,7 +3632,8 @@
            VerifyOffset(verifier, VT_DATA_CENTRE) &&
            verifier.VerifyString(data_centre()) &&
            VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
-           VerifyField<uint64_t>(verifier, VT_DIGEST, 8) &&
+           VerifyOffset(verifier, VT_DIGEST) &&
+           verifier.VerifyVector(digest()) &&
            VerifyField<uint64_t>(verifier, VT_HIGHEST_CONFIG_VERSION, 8) &&
            VerifyOffset(verifier, VT_TARGET) &&
            verifier.VerifyString(target()) &&
@@ -3743,8 +3674,8 @@
   void add_incarnation(uint64_t incarnation) {
     fbb_.AddElement<uint64_t>(gossip::VT_INCARNATION, incarnation, 0);
   }
-  void add_digest(uint64_t digest) {
-    fbb_.AddElement<uint64_t>(gossip::VT_DIGEST, digest, 0);
+  void add_digest(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> digest) {
+    fbb_.AddOffset(gossip::VT_DIGEST, digest);
   }
   void add_highest_config_version(uint64_t highest_config_version) {
     fbb_.AddElement<uint64_t>(gossip::VT_HIGHEST_CONFIG_VERSION, highest_config_version, 0);
@@ -3782,7 +3713,7 @@
     flatbuffers::Offset<flatbuffers::String> from = 0,
     flatbuffers::Offset<flatbuffers::String> data_centre = 0,
     uint64_t incarnation = 0,
-    uint64_t digest = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> digest = 0,
     uint64_t highest_config_version = 0,
     flatbuffers::Offset<flatbuffers::String> target = 0,
     flatbuffers::Offset<flatbuffers::String> target_address = 0,
@@ -3791,7 +3722,6 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fulmar::wire::summary_entry>>> summaries = 0) {
   gossipBuilder builder_(_fbb);
   builder_.add_highest_config_version(highest_config_version);
-  builder_.add_digest(digest);
   builder_.add_incarnation(incarnation);
   builder_.add_sequence(sequence);
   builder_.add_summaries(summaries);
@@ -3799,6 +3729,7 @@
   builder_.add_members(members);
   builder_.add_target_address(target_address);
   builder_.add_target(target);
+  builder_.add_digest(digest);
   builder_.add_data_centre(data_centre);
   builder_.add_from(from);
   builder_.add_kind(kind);
@@ -3812,7 +3743,7 @@
     const char *from = nullptr,
     const char *data_centre = nullptr,
     uint64_t incarnation = 0,
-    uint64_t digest = 0,
+    const std::vector<uint64_t> *digest = nullptr,
     uint64_t highest_config_version = 0,
     const char *target = nullptr,
     const char *target_address = nullptr,
@@ -3821,6 +3752,7 @@
     const std::vector<flatbuffers::Offset<fulmar::wire::summary_entry>> *summaries = nullptr) {
   auto from__ = from ? _fbb.CreateString(from) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
+  auto digest__ = digest ? _fbb.CreateVector<uint64_t>(*digest) : 0;
   auto target__ = target ? _fbb.CreateString(target) : 0;
   auto target_address__ = target_address ? _fbb.CreateString(target_address) : 0;
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<fulmar::wire::member_entry>>(*members) : 0;
@@ -3833,7 +3765,7 @@
       from__,
       data_centre__,
       incarnation,
-      digest,
+      digest__,
       highest_config_version,
       target__,
       target_address__,
@@ -3923,9 +3855,6 @@
   const fulmar::wire::claim_ack *body_as_claim_ack() const {
     return body_type() == fulmar::wire::body::claim_ack ? static_cast<const fulmar::wire::claim_ack *>(body()) : nullptr;
   }
-  const fulmar::wire::append_segment *body_as_append_segment() const {
-    return body_type() == fulmar::wire::body::append_segment ? static_cast<const fulmar::wire::append_segment *>(body()) : nullptr;
-  }
   const fulmar::wire::find_pending *body_as_find_pending() const {
     return body_type() == fulmar::wire::body::find_pending ? static_cast<const fulmar::wire::find_pending *>(body()) : nullptr;
   }
@@ -4036,10 +3965,6 @@
   return body_as_claim_ack();
 }
 
-template<> inline const fulmar::wire::append_segment *envelope::body_as<fulmar::wire::append_segment>() const {
-  return body_as_append_segment();
-}
-
 template<> inline const fulmar::wire::find_pending *envelope::body_as<fulmar::wire::find_pending>() const {
   return body_as_find_pending();
 }
@@ -4736,7 +4661,9 @@
   (void)_o;
   (void)_resolver;
   { auto _e = id(); _o->id = _e; }
-  { auto _e = key(); if (_e) _o->key = _e->str(); }
+  { auto _e = kind(); _o->kind = _e; }
+  { auto _e = subject(); if (_e) _o->subject = _e->str(); }
+  { auto _e = claimant(); if (_e) _o->claimant = _e->str(); }
   { auto _e = value(); if (_e) _o->value = _e->str(); }
 }
 
@@ -4749,12 +4676,16 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const claimT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _id = _o->id;
-  auto _key = _o->key.empty() ? 0 : _fbb.CreateString(_o->key);
+  auto _kind = _o->kind;
+  auto _subject = _o->subject.empty() ? 0 : _fbb.CreateString(_o->subject);
+  auto _claimant = _o->claimant.empty() ? 0 : _fbb.CreateString(_o->claimant);
   auto _value = _o->value.empty() ? 0 : _fbb.CreateString(_o->value);
   return fulmar::wire::Createclaim(
       _fbb,
       _id,
-      _key,
+      _kind,
+      _subject,
+      _claimant,
       _value);
 }
 
@@ -4770,7 +4701,8 @@
   { auto _e = id(); _o->id = _e; }
   { auto _e = code(); _o->code = _e; }
   { auto _e = granted(); _o->granted = _e; }
-  { auto _e = existing(); if (_e) _o->existing = _e->str(); }
+  { auto _e = claimant(); if (_e) _o->claimant = _e->str(); }
+  { auto _e = value(); if (_e) _o->value = _e->str(); }
 }
 
 inline flatbuffers::Offset<claim_ack> claim_ack::Pack(flatbuffers::FlatBufferBuilder &_fbb, const claim_ackT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4784,45 +4716,15 @@
   auto _id = _o->id;
   auto _code = _o->code;
   auto _granted = _o->granted;
-  auto _existing = _o->existing.empty() ? 0 : _fbb.CreateString(_o->existing);
+  auto _claimant = _o->claimant.empty() ? 0 : _fbb.CreateString(_o->claimant);
+  auto _value = _o->value.empty() ? 0 : _fbb.CreateString(_o->value);
   return fulmar::wire::Createclaim_ack(
       _fbb,
       _id,
       _code,
       _granted,
-      _existing);
-}
-
-inline append_segmentT *append_segment::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::unique_ptr<append_segmentT>(new append_segmentT());
-  UnPackTo(_o.get(), _resolver);
-  return _o.release();
-}
-
-inline void append_segment::UnPackTo(append_segmentT *_o, const flatbuffers::resolver_function_t *_resolver) const {
-  (void)_o;
-  (void)_resolver;
-  { auto _e = id(); _o->id = _e; }
-  { auto _e = name(); if (_e) _o->name = _e->str(); }
-  { auto _e = body(); if (_e) { _o->body.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->body.begin()); } }
-}
-
-inline flatbuffers::Offset<append_segment> append_segment::Pack(flatbuffers::FlatBufferBuilder &_fbb, const append_segmentT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return Createappend_segment(_fbb, _o, _rehasher);
-}
-
-inline flatbuffers::Offset<append_segment> Createappend_segment(flatbuffers::FlatBufferBuilder &_fbb, const append_segmentT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
-  (void)_rehasher;
-  (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const append_segmentT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _id = _o->id;
-  auto _name = _o->name.empty() ? 0 : _fbb.CreateString(_o->name);
-  auto _body = _o->body.size() ? _fbb.CreateVector(_o->body) : 0;
-  return fulmar::wire::Createappend_segment(
-      _fbb,
-      _id,
-      _name,
-      _body);
+      _claimant,
+      _value);
 }
 
 inline find_pendingT *find_pending::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -5176,7 +5078,7 @@
   { auto _e = from(); if (_e) _o->from = _e->str(); }
   { auto _e = data_centre(); if (_e) _o->data_centre = _e->str(); }
   { auto _e = incarnation(); _o->incarnation = _e; }
-  { auto _e = digest(); _o->digest = _e; }
+  { auto _e = digest(); if (_e) { _o->digest.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->digest[_i] = _e->Get(_i); } } }
   { auto _e = highest_config_version(); _o->highest_config_version = _e; }
   { auto _e = target(); if (_e) _o->target = _e->str(); }
   { auto _e = target_address(); if (_e) _o->target_address = _e->str(); }
@@ -5198,7 +5100,7 @@
   auto _from = _o->from.empty() ? 0 : _fbb.CreateString(_o->from);
   auto _data_centre = _o->data_centre.empty() ? 0 : _fbb.CreateString(_o->data_centre);
   auto _incarnation = _o->incarnation;
-  auto _digest = _o->digest;
+  auto _digest = _o->digest.size() ? _fbb.CreateVector(_o->digest) : 0;
   auto _highest_config_version = _o->highest_config_version;
   auto _target = _o->target.empty() ? 0 : _fbb.CreateString(_o->target);
   auto _target_address = _o->target_address.empty() ? 0 : _fbb.CreateString(_o->target_address);
@@ -5335,10 +5237,6 @@
       auto ptr = reinterpret_cast<const fulmar::wire::claim_ack *>(obj);
       return verifier.VerifyTable(ptr);
     }
-    case body::append_segment: {
-      auto ptr = reinterpret_cast<const fulmar::wire::append_segment *>(obj);
-      return verifier.VerifyTable(ptr);
-    }
     case body::find_pending: {
       auto ptr = reinterpret_cast<const fulmar::wire::find_pending *>(obj);
       return verifier.VerifyTable(ptr);
@@ -5462,10 +5360,6 @@
       auto ptr = reinterpret_cast<const fulmar::wire::claim_ack *>(obj);
       return ptr->UnPack(resolver);
     }
-    case body::append_segment: {
-      auto ptr = reinterpret_cast<const fulmar::wire::append_segment *>(obj);
-      return ptr->UnPack(resolver);
-    }
     case body::find_pending: {
       auto ptr = reinterpret_cast<const fulmar::wire::find_pending *>(obj);
       return ptr->UnPack(resolver);
@@ -5577,10 +5471,6 @@
       auto ptr = reinterpret_cast<const fulmar::wire::claim_ackT *>(value);
       return Createclaim_ack(_fbb, ptr, _rehasher).Union();
     }
-    case body::append_segment: {
-      auto ptr = reinterpret_cast<const fulmar::wire::append_segmentT *>(value);
-      return Createappend_segment(_fbb, ptr, _rehasher).Union();
-    }
     case body::find_pending: {
       auto ptr = reinterpret_cast<const fulmar::wire::find_pendingT *>(value);
       return Createfind_pending(_fbb, ptr, _rehasher).Union();
@@ -5691,10 +5581,6 @@
       value = new fulmar::wire::claim_ackT(*reinterpret_cast<fulmar::wire::claim_ackT *>(u.value));
       break;
     }
-    case body::append_segment: {
-      value = new fulmar::wire::append_segmentT(*reinterpret_cast<fulmar::wire::append_segmentT *>(u.value));
-      break;
-    }
     case body::find_pending: {
       value = new fulmar::wire::find_pendingT(*reinterpret_cast<fulmar::wire::find_pendingT *>(u.value));
       break;
@@ -5826,11 +5712,6 @@
       delete ptr;
       break;
     }
-    case body::append_segment: {
-      auto ptr = reinterpret_cast<fulmar::wire::append_segmentT *>(value);
-      delete ptr;
-      break;
-    }
     case body::find_pending: {
       auto ptr = reinterpret_cast<fulmar::wire::find_pendingT *>(value);
       delete ptr;
--- a/src/daemon/wire.cc
+++ b/src/daemon/wire.cc
@@ -16,7 +16,7 @@
 }
 
 json::string text(std::string_view from) {
-  return {from.data(), from.size()};
+  return json::string(from.data(), from.size());
 }
 
 }  // namespace
