Hold callers' limits in shares that move by demand

Cause: a caller's rate and concurrency hold across the pools of several data centres, also while these are cut off. Change: a bounded counter for each limit: cumulative grants between holders, moved by demand. The randomised membership run now gives the platform's list of VMs as a hint when faults end. Ruled out: shares in millionths of the limit (a limit below the number of holders rounds to nothing everywhere); shares computed from exchanged demand alone (two holders can both take the same room).

--- a/include/fulmarpitch/core/shares.h
+++ b/include/fulmarpitch/core/shares.h
@@ -1,134 +1,122 @@
 #pragma once
 
 /// \file
-/// Callers' limits held in shares by several holders (the pools of several data
-/// centres). Shares move by demand as cumulative grants between two holders,
-/// the bounded counter of the CRDT literature: a grant is taken from the giver
-/// before anyone can use it, so the shares in force never add up to more than
-/// the limit, whatever is lost, doubled or cut off.
+/// Callers' limits held in shares by several holders, which are the pools of
+/// the data centres. Shares move by demand as cumulative grants from one holder
+/// to another, as in a bounded counter: a grant is taken from the giver before
+/// the receiver hears of it, so the shares in force never add up to more than
+/// the limit, whatever is lost, doubled, late or cut off. A holder that is cut
+/// off keeps its share.
 
 #include <array>
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "fulmarpitch/core/types.h"
 
 namespace fulmar {
 
-/// Shares are counted in millionths of a caller's limit, so that a change of
-/// the limit itself scales every share.
-inline constexpr std::uint32_t whole_share = 1'000'000;
+/// The limits that are held in shares.
+enum class limit_kind { requests_per_second, concurrency };
 
-/// What one holder tells another about one caller.
+inline constexpr std::array<named<limit_kind>, 2> limit_kind_names{{
+    {limit_kind::requests_per_second, "requests_per_second"},
+    {limit_kind::concurrency, "concurrency"},
+}};
+
+/// Names one limit of one caller between holders.
+std::uint64_t limit_key(std::string_view caller, limit_kind kind);
+
+/// What one holder tells another about one limit.
 struct share_entry {
-  std::uint64_t caller_hash = 0;
-  /// Everything the sender ever granted to the receiver, cumulative.
+  std::uint64_t key = 0;
+  /// Configuration version that set the limit; others are ignored.
+  std::uint64_t generation = 0;
+  /// All that the sender ever granted to the receiver.
   std::uint64_t granted = 0;
-  /// Everything the sender ever received from the receiver, cumulative.
+  /// All that the sender ever received from the receiver.
   std::uint64_t received = 0;
-  /// Requests a second and requests at once that the sender would use, in
-  /// millionths of the limit.
+  /// What the sender would use, and what it holds.
   std::uint32_t demand = 0;
   std::uint32_t share = 0;
 };
 
-/// One exchange between two holders.
+/// One message from a holder to another.
 struct share_message {
   std::string from;
   std::string to;
-  /// Names the set of holders; entries of another set are ignored.
-  std::uint64_t generation = 0;
   std::vector<share_entry> entries;
 };
 
 /// How a ledger is built.
 struct share_options {
   std::string holder;
-  /// Every holder, this one included; the same list everywhere.
+  /// Every holder, this one included; the same set everywhere. A change of the
+  /// set needs a new generation of every limit.
   std::vector<std::string> holders;
-  /// Names the list, for instance the configuration version that set it.
-  std::uint64_t generation = 0;
-  /// Most of a limit that a holder grants in one `move`.
-  std::uint32_t move_step = whole_share / 20;
-  /// Part of its base share that a holder never grants, in millionths.
-  std::uint32_t floor = whole_share / 10;
+  /// Most of a limit that one `move` grants, as a fraction of one over this.
+  std::uint32_t move_divisor = 10;
   /// Entries in one message.
-  std::size_t entries_per_message = 24;
+  std::size_t entries_per_message = 16;
 };
 
-/// The shares of one holder.
+/// The shares of one holder. A new ledger knows no grants of a predecessor: it
+/// grants nothing, and holds at most its base share of limit over holders,
+/// until every other holder was heard. That base share bounds by how much the
+/// limit can be exceeded after the loss of a holder.
 class share_ledger {
  public:
   explicit share_ledger(share_options options);
 
-  /// Notes how much of a caller's limit this holder would use.
-  /// \param caller the caller.
-  /// \param demand millionths of the limit; may exceed `whole_share`.
-  void set_demand(const std::string& caller, std::uint32_t demand);
+  /// Sets a limit.
+  /// \param key the limit.
+  /// \param limit the caller's limit as a whole.
+  /// \param generation configuration version that set it; a new one starts
+  ///     again from the base shares, an older one is ignored.
+  void set_limit(std::uint64_t key, std::uint32_t limit,
+                 std::uint64_t generation);
+
+  /// Notes how much of a limit this holder would use.
+  void set_demand(std::uint64_t key, std::uint32_t demand);
 
-  /// The share in force.
-  /// \return millionths of the caller's limit.
-  std::uint32_t share(const std::string& caller) const;
+  /// The share in force; 0 for an unknown limit.
+  std::uint32_t share(std::uint64_t key) const;
 
-  /// Grants unused share to needier holders, one step.
+  /// Grants what this holder does not need to needier holders, one step for
+  /// each limit.
   void move();
 
-  /// What to tell another holder; callers take turns when there are many.
+  /// What to tell another holder; limits take turns when there are many.
   share_message message_to(const std::string& holder);
   void receive(const share_message& message);
 
  private:
-  struct peer_view {
+  struct peer_row {
     std::uint64_t granted = 0;
     std::uint64_t received = 0;
+    /// What the peer says it received; the rest of `granted` is on its way.
+    std::uint64_t acknowledged = 0;
     std::uint32_t demand = 0;
     std::uint32_t share = 0;
+    bool heard = false;
   };
-  struct caller_view {
+  struct limit_row {
+    std::uint32_t limit = 0;
+    std::uint64_t generation = 0;
     std::uint32_t demand = 0;
-    std::map<std::string, peer_view> peers;
+    std::map<std::string, peer_row> peers;
   };
 
-  std::uint32_t base() const;
-  std::uint32_t share_of(const caller_view& view) const;
-  void move_caller(caller_view& view);
+  std::uint32_t base(std::uint64_t key, const limit_row& row) const;
+  std::int64_t balance(std::uint64_t key, const limit_row& row) const;
+  void move_limit(std::uint64_t key, limit_row& row);
 
   share_options options_;
-  std::map<std::uint64_t, caller_view> callers_;
+  std::map<std::uint64_t, limit_row> limits_;
   std::map<std::string, std::uint64_t> cursors_;
 };
 
-/// Rate and concurrency of one caller at one holder.
-struct caller_limit {
-  /// For the caller as a whole; 0 means no limit.
-  std::uint32_t requests_per_second = 0;
-  std::uint32_t concurrency = 0;
-};
-
-/// Tells admission by a holder's share: a token bucket of one second's rate and
-/// a count of running requests.
-class limit_gate {
- public:
-  /// Tries to start a request.
-  /// \param limit the caller's limit as a whole.
-  /// \param share this holder's share, in millionths.
-  /// \param now the time; never runs backwards.
-  /// \return `none`, or `rate_limited` when the share is used up.
-  error_code start(const caller_limit& limit, std::uint32_t share, instant now);
-
-  /// Notes the end of a started request.
-  void finish();
-
-  std::uint32_t running() const { return running_; }
-
- private:
-  std::uint32_t running_ = 0;
-  /// Millionths of a request.
-  std::int64_t tokens_ = 0;
-  instant refilled_at_{};
-  bool filled_ = false;
-};
-
 }  // namespace fulmar
--- a/test/membership-test.cc
+++ b/test/membership-test.cc
@@ -225,6 +225,10 @@
     }
     it.network.cuts.clear();
     it.network.run(seconds(40));
+    // Members that start while every seed is dead meet by the platform's list.
+    for (auto& [address, node] : it.network.nodes) {
+      if (node.process) node.process->hint_platform_list(it.addresses);
+    }
     it.network.run(heal_bound);
     RC_ASSERT(it.network.agreed());
   });
