Carry out orders to engines once, under a lease in the target's row

Cause: loads and changes of role must take effect once, also on engines that do not check a fencing number and with holders that are paused. Ruled out: trusting a commit's answer for the lease; the row is read back, since an unanswered write may take effect later.

--- a/include/fulmarpitch/core/lease.h
+++ b/include/fulmarpitch/core/lease.h
@@ -10,7 +10,6 @@
 #include <string>
 
 #include "fulmarpitch/core/types.h"
-#include "fulmarpitch/platform/stores.h"
 
 namespace fulmar {
 
@@ -31,6 +30,8 @@
   std::uint64_t holder_start = 0;
   /// Grows by one with each change of holder, never falls.
   std::uint64_t fencing_number = 0;
+  /// Grows with each write of the holder; tells which write the row shows.
+  std::uint64_t beat = 0;
 
   bool operator==(const lease_record&) const = default;
 };
@@ -61,6 +62,9 @@
   std::optional<instant> seen_at;
 };
 
+/// Until when the holder may act.
+instant acts_until(const held_lease& lease, const lease_options& options);
+
 /// Notes a read of the row.
 /// \param watch the view to update.
 /// \param row_version the version that was read.
--- a/include/fulmarpitch/core/orders.h
+++ b/include/fulmarpitch/core/orders.h
@@ -32,9 +32,10 @@
 
 /// An order for one target.
 struct engine_order {
-  /// Names the order; the same id is carried out once.
-  std::string id;
   std::string target;
+  /// Grows with each order for the target. The same number is carried out
+  /// once, a lower one than the row's not at all.
+  std::uint64_t number = 0;
   order_kind kind = order_kind::load_model;
   /// The model, adapter, version or role.
   std::string value;
@@ -43,13 +44,14 @@
 };
 
 /// How far an order is; written to the row.
-enum class order_progress { none, started, done, failed };
+enum class order_progress { none, started, done, failed, superseded };
 
-inline constexpr std::array<named<order_progress>, 4> order_progress_names{{
+inline constexpr std::array<named<order_progress>, 5> order_progress_names{{
     {order_progress::none, "none"},
     {order_progress::started, "started"},
     {order_progress::done, "done"},
     {order_progress::failed, "failed"},
+    {order_progress::superseded, "superseded"},
 }};
 
 /// The row of a target.
@@ -96,7 +98,7 @@
   instant not_after{};
 };
 
-/// The order is done or failed, and the row says so.
+/// The order came to its end, and the row says so.
 struct order_ended_command {
   engine_order order;
   order_progress progress = order_progress::done;
@@ -160,7 +162,8 @@
   order_runner(order_runner&&) noexcept;
   order_runner& operator=(order_runner&&) noexcept;
 
-  /// Takes an order. One order a target; a new one waits for the running one.
+  /// Takes an order. A higher number replaces one that waits; a lower one is
+  /// ignored.
   void submit(engine_order order);
 
   /// Gives a target up, say because another member owns it now.
@@ -207,7 +210,7 @@
 };
 
 /// Moves at most one target between models.
-/// \return the order, without an id, or nothing when all may stay.
+/// \return the order, without a number, or nothing when all may stay.
 std::optional<engine_order> place_models(
     const std::vector<model_demand>& demands,
     const std::vector<placement_target>& targets,
