--- a/include/fulmarpitch/platform/stores.h
+++ b/include/fulmarpitch/platform/stores.h
@@ -43,7 +43,7 @@
 inline constexpr std::size_t max_transaction_rows = 64;
 
 /// At most this many bytes stand in one row's value.
-inline constexpr std::size_t max_row_bytes = 64 * 1024;
+inline constexpr std::size_t max_row_bytes = std::size_t{64} * 1024;
 
 /// Writes that take effect together, or not at all.
 struct table_transaction {
--- a/include/fulmarpitch/state/chunk-lease.h
+++ b/include/fulmarpitch/state/chunk-lease.h
@@ -135,15 +135,16 @@
   /// Writes the output and commits it.
   /// \param results exactly one result for each item.
   /// \throws invariant_broken when an item has no result, or two.
-  void finish(std::vector<item_result> results);
+  void finish(const std::vector<item_result>& results);
 
   /// Gives the chunk up, so that another VM can lease it at once.
   void hand_back();
 
   const chunk_candidate& candidate() const;
 
- private:
   struct state;
+
+ private:
   std::shared_ptr<state> state_;
 };
 
@@ -163,12 +164,14 @@
   /// Looks for a chunk that is not leased, or whose lease lapsed.
   /// \param now the time.
   /// \param wants which jobs to consider.
-  /// \param done receives a chunk, or nothing when there is none.
+  /// \param done receives a chunk, or nothing when there is none; may be
+  ///   called after the finder was destroyed.
   void next_chunk(instant now, job_filter wants,
                   callback<std::optional<chunk_candidate>> done);
 
- private:
   struct state;
+
+ private:
   std::shared_ptr<state> state_;
 };
 
--- a/include/fulmarpitch/state/files.h
+++ b/include/fulmarpitch/state/files.h
@@ -110,8 +110,9 @@
   line_fault fault() const;
   std::uint64_t bad_line() const;
 
- private:
   struct state;
+
+ private:
   std::shared_ptr<state> state_;
 };
 
--- a/include/fulmarpitch/state/jobs.h
+++ b/include/fulmarpitch/state/jobs.h
@@ -159,13 +159,30 @@
   ///   failure the same chunk may be read again.
   void next(callback<std::optional<std::string>> done);
 
- private:
   struct state;
+
+ private:
   std::shared_ptr<state> state_;
 };
 
+/// \param state where a job stands.
+/// \return whether every item has its result.
+constexpr bool is_final(job_state state) {
+  return state == job_state::completed || state == job_state::cancelled;
+}
+
+/// \param state where a chunk stands.
+/// \return whether every item of it has its result.
+constexpr bool is_final(chunk_state state) {
+  return state == chunk_state::committed || state == chunk_state::dropped;
+}
+
 namespace detail {
 
+/// First character of each line of a chunk's output object.
+inline constexpr char output_mark = 'o';
+inline constexpr char error_mark = 'e';
+
 std::string job_key(std::string_view caller, std::string_view id);
 std::string open_key(const job_info& job);
 std::string chunk_prefix(const job_info& job);
--- a/include/fulmarpitch/state/recorder.h
+++ b/include/fulmarpitch/state/recorder.h
@@ -47,7 +47,7 @@
 /// a recorder that was destroyed are never called.
 class recorder {
  public:
-  recorder(platform_stores stores, recorder_options options);
+  recorder(const platform_stores& stores, const recorder_options& options);
   ~recorder();
   recorder(recorder&&) noexcept;
   recorder& operator=(recorder&&) noexcept;
--- a/src/state/recorder.cc
+++ b/src/state/recorder.cc
@@ -57,7 +57,7 @@
   const auto weak = std::weak_ptr(queue);
   objects.put_if_absent(queue->segments.front().name,
                         queue->segments.front().bytes,
-                        [weak, objects](absl::StatusOr<bool> put) {
+                        [weak, objects](const absl::StatusOr<bool>& put) {
                           const auto self = weak.lock();
                           if (self) segment_written(self, objects, put);
                         });
@@ -102,7 +102,8 @@
 
 }  // namespace
 
-recorder::recorder(platform_stores stores, recorder_options options)
+recorder::recorder(const platform_stores& stores,
+                   const recorder_options& options)
     : state_(std::make_unique<state>(stores, options)) {}
 
 recorder::~recorder() = default;
--- a/test/recorder-test.cc
+++ b/test/recorder-test.cc
@@ -7,42 +7,14 @@
 
 #include "fulmarpitch/core/errors.h"
 #include "fulmarpitch/core/text.h"
-#include "fulmarpitch/platform/memory-stores.h"
 #include "fulmarpitch/state/entry-outbox.h"
+#include "store-bench.h"
 
 namespace {
 
 using namespace fulmar;
 using namespace std::chrono_literals;
 
-constexpr auto tick_length = instant(10ms);
-
-/// One set of stores with virtual time.
-struct bench {
-  explicit bench(store_fault_plan plan = {})
-      : memory(make_memory_stores(std::move(plan))),
-        stores{make_table_store(memory), make_object_store(memory)} {}
-
-  template <typename... Recorders>
-  void run(instant length, Recorders&... recorders) {
-    for (const auto end = now + length; now < end; now += tick_length) {
-      deliver(*memory, now);
-      (recorders.tick(now), ...);
-    }
-  }
-
-  absl::StatusOr<result_record> find(const std::string& id) {
-    auto out = absl::StatusOr<result_record>();
-    find_result(stores, id, [&out](auto found) { out = std::move(found); });
-    run(1s);
-    return out;
-  }
-
-  std::shared_ptr<memory_stores> memory;
-  platform_stores stores;
-  instant now{};
-};
-
 result_record make_result(std::uint64_t n, std::string body = "{}",
                           instant start = {}) {
   return {.request_id = make_request_id("dc-1", start, n),
@@ -50,7 +22,7 @@
           .body = std::move(body)};
 }
 
-recorder make_recorder(const bench& it, const std::string& name) {
+recorder make_recorder(const store_bench& it, const std::string& name) {
   return {it.stores, {.data_centre = "dc-1", .name = name}};
 }
 
@@ -87,7 +59,7 @@
 }
 
 TEST_CASE("a group of results costs two writes and is read by id") {
-  auto it = bench();
+  auto it = store_bench();
   auto writer = make_recorder(it, "a");
   auto done = 0;
   for (std::uint64_t n = 0; n < 1000; ++n) {
@@ -108,7 +80,7 @@
 }
 
 TEST_CASE("of two results of one id the first committed stays") {
-  auto it = bench();
+  auto it = store_bench();
   auto first = make_recorder(it, "a");
   auto second = make_recorder(it, "b");
   REQUIRE(first.record(make_result(1, "first"), [](const auto&) {}).ok());
@@ -120,7 +92,7 @@
 }
 
 TEST_CASE("a full recorder refuses and keeps what it has") {
-  auto it = bench();
+  auto it = store_bench();
   auto writer = recorder(it.stores, {.data_centre = "dc-1",
                                      .name = "a",
                                      .most_pending = 3,
@@ -141,7 +113,7 @@
 }
 
 TEST_CASE("a conflicting claim leaves the group, the rest commits") {
-  auto it = bench();
+  auto it = store_bench();
   auto writer = make_recorder(it, "a");
   auto outcomes = std::map<std::string, claim_outcome>();
   const auto claim = [&](const std::string& subject, const std::string& who) {
@@ -172,12 +144,12 @@
 /// Two recorders at once over lossy stores: everything ends in the stores, and
 /// each claim has one holder.
 void run_split_view(std::uint64_t seed) {
-  auto it = bench({.seed = seed,
-                   .fail_before_per_mille = 150,
-                   .lose_reply_per_mille = 150,
-                   .late_effect_per_mille = 100,
-                   .most_delay = 200ms,
-                   .outages = {{2s, 5s}}});
+  auto it = store_bench({.seed = seed,
+                         .fail_before_per_mille = 150,
+                         .lose_reply_per_mille = 150,
+                         .late_effect_per_mille = 100,
+                         .most_delay = 200ms,
+                         .outages = {{2s, 5s}}});
   auto first = make_recorder(it, "a");
   auto second = make_recorder(it, "b");
   auto granted = std::map<std::string, int>();
