--- a/include/fulmarpitch/config/configuration.h
+++ b/include/fulmarpitch/config/configuration.h
@@ -55,6 +55,8 @@
   bool checks_fencing = false;
   bool can_resume = false;
   bool can_export_kv = false;
+  /// A draining target receives no new work.
+  bool draining = false;
 };
 
 struct class_declaration {
--- a/src/config/configuration.cc
+++ b/src/config/configuration.cc
@@ -52,6 +52,7 @@
       .slots = target.slots,
       .kv_tokens = target.kv_tokens,
       .can_resume = target.can_resume,
+      .leaving = target.draining,
   };
 }
 
--- a/src/config/declarations.cc
+++ b/src/config/declarations.cc
@@ -101,6 +101,7 @@
   fields("checks_fencing", it.checks_fencing);
   fields("can_resume", it.can_resume);
   fields("can_export_kv", it.can_export_kv);
+  fields("draining", it.draining);
 }
 
 template <typename Fields, either_const<class_declaration> T>
--- a/src/config/schema-text.cc
+++ b/src/config/schema-text.cc
@@ -87,7 +87,8 @@
         "kv_tokens": { "description": "tokens that the KV cache holds", "type": "integer", "minimum": 0, "maximum": 1000000000000 },
         "checks_fencing": { "description": "whether it refuses an old fencing number", "type": "boolean" },
         "can_resume": { "type": "boolean" },
-        "can_export_kv": { "type": "boolean" }
+        "can_export_kv": { "type": "boolean" },
+        "draining": { "description": "whether it receives no new work", "type": "boolean" }
       }
     },
     "class": {
