Keep batch out while online arrivals near the pool's capacity

Batch entered the gaps of a burst and delayed its prompts. A decaying sum of arriving online work now closes the pool to new batch above a limit that the preference sets.

--- a/include/fulmarpitch/core/queues.h
+++ b/include/fulmarpitch/core/queues.h
@@ -68,6 +68,11 @@
   void push(caller_id caller, queue_entry entry, std::int64_t work_us);
   void erase(caller_id caller, queue_entry entry, std::int64_t work_us);
 
+  /// Takes a request out to run it: removes it from its queue, charges its
+  /// tokens and counts it as running.
+  void take(caller_id caller, queue_entry entry, std::int64_t work_us,
+            std::int64_t tokens);
+
   /// Charges tokens to a caller; a negative number corrects a charge.
   void charge(caller_id caller, std::int64_t tokens);
 
@@ -93,6 +98,8 @@
  private:
   using active_key = std::tuple<std::int64_t, queue_entry, caller_id>;
 
+  void remove(caller_row& it, queue_entry entry, std::int64_t work_us);
+  static void add_tokens(caller_row& it, std::int64_t tokens);
   active_key key_of(caller_id caller) const;
   void unlist(caller_id caller);
   void list(caller_id caller, bool returns);
--- a/include/fulmarpitch/core/sequencer-state.h
+++ b/include/fulmarpitch/core/sequencer-state.h
@@ -121,6 +121,9 @@
   retry_budget retries;
   sliding_sum served;
   sliding_peak bursts;
+  /// Online work that arrives, in engines kept busy; decays with time.
+  double online_load = 0;
+  instant online_load_at{};
   instant burst_start{};
   std::int64_t burst_size = 0;
   std::uint64_t last_arrival = 0;
@@ -147,6 +150,7 @@
 void drop_origin(sequencer_state& s, const std::string& origin, instant now);
 /// Moves a request along its life; an event that is not allowed is a fault.
 void move(request_row& row, life_event event);
+queue_entry entry_of(const request_row& it, row_id row);
 void enqueue(sequencer_state& s, row_id row);
 void dequeue(sequencer_state& s, row_id row);
 void hold(sequencer_state& s, row_id row, instant until);
@@ -196,15 +200,21 @@
 std::vector<target_candidate> weigh_targets(sequencer_state& s,
                                             const request_row& row,
                                             instant now);
+/// Whether any open target has a slot left.
+bool has_free_slot(const sequencer_state& s);
 /// Whether an open target has what the request needs, free or not.
 bool has_place(const sequencer_state& s, const request_row& row);
 /// The time a target takes to take a prompt in, in microseconds.
 std::int64_t prefill_us(const target_row& it, std::uint32_t tokens);
 
 // Batch against online: src/core/sequencer-preemption.cc
-void note_arrival(sequencer_state& s, instant now);
+void note_arrival(sequencer_state& s, const request_row& row, instant now);
+/// Share of the pool's capacity that recent online arrivals need.
+double online_load(const sequencer_state& s, instant now);
 /// Slots to keep free of batch work on each target.
 std::uint32_t reserve_slots(const sequencer_state& s, instant now);
+/// Whether online work leaves the pool capacity for new batch work.
+bool batch_may_enter(const sequencer_state& s, instant now);
 /// Whether batch work leaves the targets for latency within reach.
 bool batch_fits(const sequencer_state& s, const target_row& it,
                 std::uint32_t reserve, instant now);
--- a/src/core/queues.cc
+++ b/src/core/queues.cc
@@ -33,22 +33,38 @@
 
 void class_queue::erase(caller_id caller, queue_entry entry,
                         std::int64_t work_us) {
-  auto& it = callers_[caller];
   unlist(caller);
-  if (it.entries.erase(entry) != 0) {
-    it.queued_us -= work_us;
-    work_us_ -= work_us;
-    --size_;
-  }
+  remove(callers_[caller], entry, work_us);
   list(caller, false);
 }
 
-void class_queue::charge(caller_id caller, std::int64_t tokens) {
+void class_queue::take(caller_id caller, queue_entry entry,
+                       std::int64_t work_us, std::int64_t tokens) {
   auto& it = callers_[caller];
   unlist(caller);
+  remove(it, entry, work_us);
+  add_tokens(it, tokens);
+  ++it.running;
+  list(caller, false);
+}
+
+void class_queue::remove(caller_row& it, queue_entry entry,
+                         std::int64_t work_us) {
+  if (it.entries.erase(entry) == 0) return;
+  it.queued_us -= work_us;
+  work_us_ -= work_us;
+  --size_;
+}
+
+void class_queue::add_tokens(caller_row& it, std::int64_t tokens) {
   it.remainder += tokens;
   it.virtual_tokens += it.remainder / it.weight;
   it.remainder %= it.weight;
+}
+
+void class_queue::charge(caller_id caller, std::int64_t tokens) {
+  unlist(caller);
+  add_tokens(callers_[caller], tokens);
   list(caller, false);
 }
 
--- a/src/core/sequencer-admission.cc
+++ b/src/core/sequencer-admission.cc
@@ -12,6 +12,7 @@
                                 .rank = it.policy.rank,
                                 .kind = it.policy.kind,
                                 .owed_tokens = owed_tokens(s, it, now)};
+  result.callers.reserve(recorded_candidates);
   for (auto row : it.queue.heads(recorded_candidates)) {
     const auto& request = s.requests[row];
     const auto& caller = it.queue.at(request.caller);
@@ -33,6 +34,8 @@
 
 open_classes open_of(const sequencer_state& s, instant now) {
   auto result = open_classes();
+  result.candidates.reserve(s.classes.size());
+  result.places.reserve(s.classes.size());
   for (std::size_t i = 0; i < s.classes.size(); ++i) {
     if (!s.classes[i].queue.can_serve()) continue;
     result.candidates.push_back(candidate_of(s, s.classes[i], now));
@@ -71,14 +74,11 @@
 }
 
 void check_admission(const sequencer_state& s, const request_row& row,
-                     const target_row& target, const choice_inputs& inputs,
-                     const choice& chosen) {
+                     const target_row& target) {
   ensure(!target.info.leaving && target.is_known,
          invariant::leaving_gets_nothing, "a leaving target was chosen");
   ensure(!row.item.no_repeat || row.attempt == 0, invariant::at_most_once,
          "a request that may not be repeated was admitted again");
-  ensure(choose(inputs) == chosen, invariant::order_has_no_gap,
-         "the recorded inputs do not give the choice");
   if (!is_batch(row)) return;
   for (const auto& it : s.classes) {
     ensure(it.policy.kind == work_kind::batch || !it.queue.can_serve(),
@@ -98,7 +98,7 @@
          invariant::order_has_no_gap, "the rule chose another request");
   auto id = s.target_by_name.at(chosen->target);
   auto& target = s.targets[id];
-  check_admission(s, it, target, inputs, *chosen);
+  check_admission(s, it, target);
   auto fresh = it.item.prompt_tokens + it.kept;
   if (id < s.depths.size())
     fresh -=
@@ -106,7 +106,6 @@
   auto start = std::max(target.prefill_until, now);
   target.prefill_until = start + instant(prefill_us(target, fresh));
   if (it.attempt == 0) earn(s.retries);
-  dequeue(s, row);
   start_attempt(s, row, id, now);
   s.prefixes.add(id, it.item.prefix_blocks, now);
   s.commands.emplace_back(admit_command{.number = ++s.last_number,
@@ -121,6 +120,7 @@
 // Makes one choice.
 // \return whether another may follow.
 bool admit_one(sequencer_state& s, instant now) {
+  if (!has_free_slot(s)) return false;
   auto open = open_of(s, now);
   while (auto at = choose_class(open.candidates)) {
     auto& group = s.classes[open.places[*at]];
--- a/src/core/sequencer-attempts.cc
+++ b/src/core/sequencer-attempts.cc
@@ -42,17 +42,21 @@
   auto& it = s.requests[row];
   auto& at = s.targets[target];
   auto& group = s.classes[it.class_at];
-  auto output = expected_output(s, it);
+  auto was_queued = it.life == life_state::queued;
+  it.charged = it.item.prompt_tokens + expected_output(s, it);
   move(it, life_event::admit);
   ++it.attempt;
   it.target = target;
   it.admitted_at = now;
   it.stop_reason = error_code::none;
-  it.charged = it.item.prompt_tokens + output;
   it.kv_tokens = it.item.prompt_tokens + it.item.max_tokens;
   it.is_suspect = s.suspects.is_suspect(it.item.content_hash, now);
-  group.queue.charge(it.caller, it.charged);
-  group.queue.add_running(it.caller, 1);
+  if (was_queued) {
+    group.queue.take(it.caller, entry_of(it, row), it.work_us, it.charged);
+  } else {
+    group.queue.charge(it.caller, it.charged);
+    group.queue.add_running(it.caller, 1);
+  }
   group.served.add(it.charged, now);
   s.served.add(it.charged, now);
   at.running.push_back(row);
--- a/src/core/sequencer-preemption.cc
+++ b/src/core/sequencer-preemption.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <cmath>
 
 #include "fulmarpitch/core/sequencer-state.h"
 
@@ -9,6 +10,30 @@
 // thousandths of the target for the first token, per point of preference.
 constexpr std::int64_t prefill_permille_per_point = 1;
 
+// Online arrivals are averaged over about this time.
+constexpr instant load_time = std::chrono::milliseconds(200);
+
+// Online load above which no batch work is admitted, at preference 0 and 100.
+constexpr double least_load_limit = 0.5;
+constexpr double most_load_limit = 1.0;
+
+double decay(instant elapsed) {
+  return std::exp(-static_cast<double>(elapsed.count()) /
+                  static_cast<double>(load_time.count()));
+}
+
+double load_limit(const pool_policy& policy) {
+  auto preference = std::min(policy.batch_preference, 100U) / 100.0;
+  return least_load_limit + (most_load_limit - least_load_limit) * preference;
+}
+
+std::uint32_t reference_slots(const sequencer_state& s) {
+  for (const auto& it : s.targets) {
+    if (it.is_known) return it.info.slots;
+  }
+  return 0;
+}
+
 std::uint32_t kept_batch(const target_row& it) {
   return it.batch - it.stopping;
 }
@@ -66,7 +91,12 @@
 
 }  // namespace
 
-void note_arrival(sequencer_state& s, instant now) {
+void note_arrival(sequencer_state& s, const request_row& row, instant now) {
+  auto slots = std::max(1U, reference_slots(s));
+  auto engine_us = static_cast<double>(service_us(s, row)) / slots;
+  s.online_load *= decay(now - s.online_load_at);
+  s.online_load += engine_us / static_cast<double>(load_time.count());
+  s.online_load_at = now;
   if (now - s.burst_start > give_way_time) {
     s.burst_start = now;
     s.burst_size = 0;
@@ -74,6 +104,15 @@
   s.bursts.add(++s.burst_size, now);
 }
 
+double online_load(const sequencer_state& s, instant now) {
+  auto targets = std::count_if(
+      s.targets.begin(), s.targets.end(),
+      [](const target_row& it) { return it.is_known && !it.info.leaving; });
+  if (targets == 0) return 0;
+  return s.online_load * decay(now - s.online_load_at) /
+         static_cast<double>(targets);
+}
+
 std::uint32_t reserve_slots(const sequencer_state& s, instant now) {
   auto targets = std::int64_t(0);
   for (const auto& it : s.targets)
@@ -85,6 +124,10 @@
   return static_cast<std::uint32_t>(slots);
 }
 
+bool batch_may_enter(const sequencer_state& s, instant now) {
+  return online_load(s, now) <= load_limit(s.policy);
+}
+
 bool batch_fits(const sequencer_state& s, const target_row& it,
                 std::uint32_t reserve, instant now) {
   if (now < it.batch_paused_until) return false;
--- a/src/core/sequencer-requests.cc
+++ b/src/core/sequencer-requests.cc
@@ -7,12 +7,6 @@
 namespace fulmar::detail {
 namespace {
 
-queue_entry entry_of(const request_row& it, row_id row) {
-  return {.deadline = is_batch(it) ? it.item.deadline : instant{},
-          .arrival_number = it.arrival_number,
-          .row = row};
-}
-
 row_id add_row(sequencer_state& s, const submit_event& event) {
   auto row = static_cast<row_id>(s.requests.size());
   if (s.free_rows.empty()) {
@@ -52,7 +46,6 @@
   auto& it = s.requests[row];
   auto waits = it.life == life_state::queued || it.life == life_state::held;
   if (!waits || event.target.empty() || event.attempt <= it.attempt) return;
-  if (it.life == life_state::queued) dequeue(s, row);
   if (it.life == life_state::held) s.held.erase({it.held_until, row});
   adopt(s, row, event, now);
 }
@@ -107,6 +100,12 @@
 
 }  // namespace
 
+queue_entry entry_of(const request_row& it, row_id row) {
+  return {.deadline = is_batch(it) ? it.item.deadline : instant{},
+          .arrival_number = it.arrival_number,
+          .row = row};
+}
+
 void move(request_row& row, life_event event) {
   auto next = next_state(row.life, event);
   ensure(next.has_value(), invariant::one_result,
@@ -120,13 +119,14 @@
   auto row = add_row(s, event);
   if (event.attempt > 0 && !event.target.empty()) {
     watch_deadline(s, row);
+    move(s.requests[row], life_event::hold);
     return adopt(s, row, event, now);
   }
   auto& it = s.requests[row];
   if (it.item.no_repeat && it.attempt > 0)
     return refuse(s, row, error_code::outcome_unknown);
   it.kept = it.produced;
-  if (!is_batch(it)) note_arrival(s, now);
+  if (!is_batch(it)) note_arrival(s, it, now);
   if (refuse_early(s, row, now)) return;
   watch_deadline(s, row);
   enqueue(s, row);
--- a/src/core/sequencer-routing.cc
+++ b/src/core/sequencer-routing.cc
@@ -81,6 +81,12 @@
          step_us(costs, sequences(it)) * steps;
 }
 
+bool has_free_slot(const sequencer_state& s) {
+  return std::any_of(s.targets.begin(), s.targets.end(), [](const auto& it) {
+    return is_open(it) && sequences(it) < it.info.slots;
+  });
+}
+
 bool has_place(const sequencer_state& s, const request_row& row) {
   return std::any_of(s.targets.begin(), s.targets.end(), [&](const auto& it) {
     return is_open(it) && has_model(it.info, row.item);
@@ -95,6 +101,7 @@
   s.costs.clear();
   auto mean = mean_running(s);
   auto reserve = is_batch(row) ? reserve_slots(s, now) : 0;
+  if (is_batch(row) && !batch_may_enter(s, now)) return {};
   auto suspect = s.suspects.is_suspect(row.item.content_hash, now);
   for (target_id id = 0; id < s.targets.size(); ++id) {
     const auto& it = s.targets[id];
@@ -114,6 +121,7 @@
                              std::tie(b.first, s.targets[b.second].info.name);
                     });
   auto result = std::vector<target_candidate>();
+  result.reserve(count);
   for (auto it = s.costs.begin(); it != end; ++it)
     result.push_back(
         {.target = s.targets[it->second].info.name, .cost_us = it->first});
--- a/src/model/world.cc
+++ b/src/model/world.cc
@@ -30,7 +30,10 @@
 class world {
  public:
   world(const world_options& options, const way& decider)
-      : options_(options), decider_(decider), random_(options.seed) {}
+      : options_(options),
+        decider_(decider),
+        random_(options.seed),
+        noise_(~options.seed) {}
 
   run_figures run() {
     set_up();
@@ -135,7 +138,7 @@
   void submit_again(std::uint32_t n) {
     const auto& it = requests_[n];
     if (it.done_at != instant{} || it.is_refused) return;
-    auto delay = instant(std::uniform_int_distribution<>(0, 200'000)(random_));
+    auto delay = instant(std::uniform_int_distribution<>(0, 200'000)(noise_));
     at(now_ + delay, [this, n] { submit(n); });
   }
 
@@ -393,7 +396,7 @@
     if (change.added.empty() && change.removed.empty()) return;
     auto number = ++cache_numbers_[i];
     auto is_lost =
-        std::uniform_real_distribution<>(0, 1)(random_) < options_.cache_loss;
+        std::uniform_real_distribution<>(0, 1)(noise_) < options_.cache_loss;
     if (is_lost) return;
     auto event = cache_event{.target = target_name(i),
                              .sequence = number,
@@ -404,7 +407,10 @@
 
   const world_options& options_;
   const way& decider_;
+  // Arrivals draw from one source and faults from another, so that every way
+  // meets the same arrivals.
   std::mt19937_64 random_;
+  std::mt19937_64 noise_;
   instant now_{};
   bool is_down_ = false;
   std::uint64_t call_number_ = 0;
