--- a/include/fulmarpitch/order/audit.h
+++ b/include/fulmarpitch/order/audit.h
@@ -155,6 +155,6 @@
 /// Presents a directory of exported objects as an object store; read only.
 /// \param path the directory; a file's path within it is the object's name.
 /// \return the store.
-object_store directory_store(std::string path);
+object_store directory_store(const std::string& path);
 
 }  // namespace fulmar
--- a/include/fulmarpitch/order/log.h
+++ b/include/fulmarpitch/order/log.h
@@ -29,7 +29,7 @@
 /// When a segment is cut.
 struct segment_limits {
   std::size_t records = 2048;
-  std::size_t bytes = 1024 * 1024;
+  std::size_t bytes = 1024UL * 1024;
   instant interval = std::chrono::milliseconds(500);
 };
 
--- a/src/order/audit.cc
+++ b/src/order/audit.cc
@@ -9,6 +9,8 @@
 namespace fulmar {
 namespace {
 
+constexpr digest no_digest{};
+
 struct number_range {
   std::uint64_t from = 0;
   std::uint64_t to = 0;
@@ -241,7 +243,7 @@
     auto before = std::find_if(epochs.begin(), epochs.end(), is_before);
     if (before == epochs.end()) {
       auto is_start = at.opening->predecessor.number == 0 &&
-                      at.opening_previous == digest();
+                      at.opening_previous == no_digest;
       if (is_start) return;
       find(audit_fault::epoch_link_broken, at, at.first, at.first,
            concat("epoch ", to_text(at.opening->predecessor), " is missing"));
--- a/src/order/record-json.cc
+++ b/src/order/record-json.cc
@@ -16,7 +16,7 @@
 constexpr std::size_t open_fields = 4;
 constexpr std::size_t close_fields = 1;
 constexpr std::size_t hole_fields = 3;
-constexpr std::size_t scratch_bytes = 16 * 1024;
+constexpr std::size_t scratch_bytes = 16UL * 1024;
 
 json::string_view text(std::string_view it) {
   return {it.data(), it.size()};
--- a/src/order/segment-source.cc
+++ b/src/order/segment-source.cc
@@ -94,7 +94,7 @@
   walk->step();
 }
 
-object_store directory_store(std::string path) {
+object_store directory_store(const std::string& path) {
   auto names = std::make_shared<std::vector<std::string>>(files_under(path));
   auto put = [](const std::string&, const std::string&,
                 const callback<bool>& done) {
