--- a/include/fulmarpitch/daemon/entry.h
+++ b/include/fulmarpitch/daemon/entry.h
@@ -85,6 +85,8 @@
 
   /// A daemon, or a link to it, was lost: what it knew may be lost.
   void peer_lost(const std::string& peer);
+  /// The owners of pools may have changed.
+  void sequencers_changed();
   /// The recorder's role moved.
   void recorder_changed();
 
--- a/src/daemon/entry.cc
+++ b/src/daemon/entry.cc
@@ -470,6 +470,15 @@
   }
 }
 
+void entry::sequencers_changed() {
+  auto now = event_loop::now();
+  for (auto& [id, it] : state_->requests) {
+    if (state_->links.sequencer_of(it.job.item.model) != it.sequencer) {
+      it.submit_at = now;
+    }
+  }
+}
+
 void entry::recorder_changed() {
   state_->record_ids.clear();
   state_->outbox.recorder_changed();
