--- a/src/core/settings.cc
+++ b/src/core/settings.cc
@@ -86,7 +86,7 @@
 
 /// The usage without its defaults shows which flags were given.
 std::string without_defaults(const std::string& usage) {
-  static const auto defaults = std::regex(R"( *\[default: [^\]]*\])");
+  static const auto defaults = std::regex(R"(\[default: [^\]]*\])");
   return std::regex_replace(usage, defaults, "");
 }
 
--- a/test/settings-test.cc
+++ b/test/settings-test.cc
@@ -17,7 +17,8 @@
   --port N          Port [default: 8080].
   --wait TIME       Time to wait [default: 5s].
   --listen ADDRESS  Address [default: 127.0.0.1:80].
-  --kind KIND       Kind [default: online].
+  --kind KIND       Kind of the work
+                    [default: online].
   --json            Print JSON.
   --peer ADDRESS    A peer.
 )";
