--- a/src/core/membership.cc
+++ b/src/core/membership.cc
@@ -25,6 +25,8 @@
 // Without a call for so many periods this process was paused.
 constexpr int pause_periods = 4;
 constexpr membership_digest all_buckets = {~0ULL, ~0ULL, ~0ULL, ~0ULL};
+// Most member records that mend differences, in a second.
+constexpr std::size_t refreshes_per_second = 12;
 constexpr std::size_t relayed_summaries = 2;
 // One summary in this many goes to a seed in place of a known delegate.
 constexpr std::uint64_t remote_seed_turns = 8;
@@ -73,6 +75,9 @@
   std::vector<std::string> round;
   std::deque<std::string> probe_next;
   std::set<std::string> invited;
+  // Member records that may still go out by difference of the digests.
+  std::size_t refresh_credit = refreshes_per_second;
+  instant credited_at{};
   bool urgent = false;
   bool started = false;
   instant last_tick{};
@@ -134,7 +139,11 @@
     if (detail::in_difference(difference, self_hash)) {
       detail::add_once(message.members, self);
     }
-    table.take_refresh(limit(), difference, message);
+    auto most = limit();
+    auto held = message.members.size();
+    most.members = std::min(most.members, held + refresh_credit);
+    table.take_refresh(most, difference, message);
+    refresh_credit -= std::min(refresh_credit, message.members.size() - held);
   }
 
   void send(const std::string& address, membership_message message) {
@@ -305,6 +314,17 @@
     }
   }
 
+  // Bounds what mending costs while everything changes at once.
+  void refill_credit(instant now) {
+    constexpr auto interval = instant(std::chrono::seconds(1)) /
+                              static_cast<int>(refreshes_per_second);
+    auto n = std::min<std::size_t>((now - credited_at) / interval,
+                                   refreshes_per_second);
+    if (n == 0) return;
+    credited_at = now;
+    refresh_credit = std::min(refresh_credit + n, refreshes_per_second);
+  }
+
   void check_probes(instant now) {
     for (auto it = probes.begin(); it != probes.end();) {
       auto waited = now - it->second.sent_at;
@@ -400,11 +420,11 @@
       send_ping(find(name)->peer_address, name, now);
     }
     auto alone = table.names(false).empty();
-    if (alone || ++periods % reconnect_periods == 0) reconnect(now);
+    if (alone || ++periods % reconnect_periods == 0) reconnect();
   }
 
   // Pings one address that should be a member's but is not.
-  void reconnect(instant now) {
+  void reconnect() {
     auto known = std::set<std::string>{self.peer_address};
     auto addresses = std::vector<std::string>();
     for (const auto& [name, it] : table.members) {
@@ -429,7 +449,6 @@
     auto message = new_message(membership_message_kind::ping);
     message.sequence = ++sequence;
     add_difference(message, name, all_buckets);
-    (void)now;
     send(address, std::move(message));
   }
 
@@ -549,12 +568,13 @@
       after_pause(now - last_tick);
     }
     last_tick = now;
+    refill_credit(now);
     if (!started) {
       started = true;
       // Members that start together must not ping together.
       next_ping = now + instant(pick(options.ping_period.count()));
       next_summary = now + instant(pick(options.summary_period.count()));
-      reconnect(now);
+      reconnect();
     }
     check_probes(now);
     check_suspects(now);
--- a/test/membership-network.h
+++ b/test/membership-network.h
@@ -174,19 +174,19 @@
       if (auto it = nodes.find(out.to_address); it != nodes.end()) {
         extra += it->second.extra_delay;
       }
-      queue.emplace(now + instant(delay) + extra,
+      queue_.emplace(now + instant(delay) + extra,
                     datagram{from, out.to_address, out.message});
     }
   }
 
   void deliver() {
-    while (!queue.empty() && queue.begin()->first <= now) {
-      auto it = std::move(queue.begin()->second);
-      queue.erase(queue.begin());
+    while (!queue_.empty() && queue_.begin()->first <= now) {
+      auto it = std::move(queue_.begin()->second);
+      queue_.erase(queue_.begin());
       auto to = nodes.find(it.to);
       if (to == nodes.end() || !to->second.process) continue;
       if (now < to->second.paused_until) {
-        queue.emplace(to->second.paused_until, std::move(it));
+        queue_.emplace(to->second.paused_until, std::move(it));
         continue;
       }
       to->second.process->receive(it.from, it.message, now);
@@ -194,7 +194,7 @@
     }
   }
 
-  std::multimap<instant, datagram> queue;
+  std::multimap<instant, datagram> queue_;
 };
 
 }  // namespace fulmar
--- a/test/membership-test.cc
+++ b/test/membership-test.cc
@@ -21,7 +21,7 @@
 
 struct cluster {
   explicit cluster(std::size_t members, network_options options = {},
-                   membership_options base = {})
+                   const membership_options& base = {})
       : network(options),
         addresses(network.add_data_centre("etela", members, base)) {
     network.run(join_bound);
--- a/test/orders-test.cc
+++ b/test/orders-test.cc
@@ -124,7 +124,7 @@
   }
 
   // Hands an event to a holder, after its pause, unless it started again.
-  void answer(int i, std::uint64_t start, order_event event) {
+  void answer(int i, std::uint64_t start, const order_event& event) {
     auto& it = holders_[i];
     if (it.start != start) return;
     if (now_ < it.paused_until) {
@@ -162,7 +162,7 @@
     }
   }
 
-  void reply(int i, order_event event) {
+  void reply(int i, const order_event& event) {
     later(between(milliseconds(1), milliseconds(300)),
           [this, i, start = holders_[i].start, event] {
             answer(i, start, event);
