--- a/programs/fulmard.cc
+++ b/programs/fulmard.cc
@@ -29,9 +29,9 @@
   --data-centre NAME     Data centre of this VM [default: local-1].
   --region NAME          Region of this VM [default: local].
   --host IP              Address to listen on [default: 127.0.0.1].
-  --caller-port PORT     Port for callers [default: 18000].
-  --operator-port PORT   Port for operators [default: 18001].
-  --peer-port PORT       Port for other daemons, TCP and UDP [default: 18002].
+  --caller-port PORT     Port for callers [default: 8080].
+  --operator-port PORT   Port for operators [default: 8081].
+  --peer-port PORT       Port for other daemons, TCP and UDP [default: 8082].
   --secret TEXT          Secret that all daemons share.
   --platform ADDRESS     Host and port of the platform's stores
                          [default: 127.0.0.1:18090].
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -61,6 +61,7 @@
   void find_lost(const std::string& id, callback<result_record> done);
   bool is_ready() const;
   bool is_drained() const;
+  void log_leftovers() const;
   void drain(instant give_up_at, std::function<void(bool)> done);
   void tick_fast();
   void tick_slow();
@@ -494,6 +495,15 @@
          batches->open() == 0 && load.results == 0 && load.claims == 0;
 }
 
+void entry_daemon::state::log_leftovers() const {
+  auto load = results->load();
+  LOG(WARNING) << "left over: " << requests->open() << " requests, "
+               << requests->unrecorded() << " unrecorded results, "
+               << batches->open() << " chunks, " << load.results
+               << " pending results, " << load.claims << " claims, order log "
+               << (pools->flushed() ? "flushed" : "not flushed");
+}
+
 void entry_daemon::state::drain(instant give_up_at,
                                 std::function<void(bool)> done) {
   auto late = event_loop::steady() > give_up_at;
@@ -501,6 +511,7 @@
     pools->close();
     if (pools->flushed() || late) {
       auto clean = is_drained() && pools->flushed();
+      if (!clean) log_leftovers();
       ended = true;
       done(clean);
       return;
