Give a new share ledger's peers its start

Change: messages name the sender's start and the latest heard start of the receiver; grants of earlier starts are dropped, and a new ledger is complete only once the others answered to its start. Limits that changed are told first. Conclusion: the excess after the loss of a holder is bounded by its base share.

--- a/include/fulmarpitch/core/shares.h
+++ b/include/fulmarpitch/core/shares.h
@@ -48,25 +48,34 @@
 struct share_message {
   std::string from;
   std::string to;
+  /// Names the start of the sender's ledger.
+  std::uint64_t start = 0;
+  /// The latest start of the receiver that the sender heard of; it takes no
+  /// grants of earlier ones any more.
+  std::uint64_t heard_start = 0;
   std::vector<share_entry> entries;
 };
 
 /// How a ledger is built.
 struct share_options {
   std::string holder;
+  /// Grows with each ledger that is built for the holder; the clock's
+  /// microseconds will do.
+  std::uint64_t start = 1;
   /// Every holder, this one included; the same set everywhere. A change of the
   /// set needs a new generation of every limit.
   std::vector<std::string> holders;
   /// Most of a limit that one `move` grants, as a fraction of one over this.
   std::uint32_t move_divisor = 10;
-  /// Entries in one message.
+  /// Entries in one message: those that changed, then a few in turn.
   std::size_t entries_per_message = 16;
+  std::size_t refreshed_per_message = 4;
 };
 
 /// The shares of one holder. A new ledger knows no grants of a predecessor: it
 /// grants nothing, and holds at most its base share of limit over holders,
-/// until every other holder was heard. That base share bounds by how much the
-/// limit can be exceeded after the loss of a holder.
+/// until every other holder has heard of its start. That base share bounds by
+/// how much the limit can be exceeded after the loss of a holder.
 class share_ledger {
  public:
   explicit share_ledger(share_options options);
@@ -89,7 +98,8 @@
   /// each limit.
   void move();
 
-  /// What to tell another holder; limits take turns when there are many.
+  /// What to tell another holder: limits that changed, then a few in turn, so
+  /// that a lost message is made up for.
   share_message message_to(const std::string& holder);
   void receive(const share_message& message);
 
@@ -102,21 +112,27 @@
     std::uint32_t demand = 0;
     std::uint32_t share = 0;
     bool heard = false;
+    /// Messages that still have to carry the latest change.
+    std::uint32_t unsent = 0;
   };
   struct limit_row {
     std::uint32_t limit = 0;
     std::uint64_t generation = 0;
     std::uint32_t demand = 0;
+    /// The demand that the other holders were last told.
+    std::uint32_t told_demand = 0;
     std::map<std::string, peer_row> peers;
   };
 
   std::uint32_t base(std::uint64_t key, const limit_row& row) const;
   std::int64_t balance(std::uint64_t key, const limit_row& row) const;
   void move_limit(std::uint64_t key, limit_row& row);
+  void add_entry(std::uint64_t key, limit_row& row, share_message& message);
 
   share_options options_;
   std::map<std::uint64_t, limit_row> limits_;
   std::map<std::string, std::uint64_t> cursors_;
+  std::map<std::string, std::uint64_t> starts_;
 };
 
 }  // namespace fulmar
--- a/programs/fulmar-slopes.cc
+++ b/programs/fulmar-slopes.cc
@@ -284,7 +284,8 @@
     auto size = static_cast<double>(n);
     memory.points.push_back({size, heap_bytes() - before});
     for (const auto& from : options.holders) {
-      auto message = share_message{.from = from, .to = "pool-0"};
+      auto message =
+          share_message{.from = from, .to = "pool-0", .heard_start = 1};
       for (auto i = 0; i < n; ++i) {
         message.entries.push_back({.key = static_cast<std::uint64_t>(i) + 1,
                                    .generation = 1,
--- a/src/core/shares.cc
+++ b/src/core/shares.cc
@@ -10,6 +10,17 @@
 namespace fulmar {
 namespace {
 
+// A change is sent this often, since messages may be lost.
+constexpr std::uint32_t sends_of_change = 2;
+// A change of demand below this part of the limit waits for its turn.
+constexpr std::uint32_t demand_divisor = 20;
+
+template <typename Row>
+void mark_changed(Row& row) {
+  for (auto& [name, it] : row.peers)
+    it.unsent = sends_of_change;
+}
+
 // What a holder should have of a limit, by its part of the demand. Spare
 // capacity is split evenly.
 std::int64_t entitled(std::int64_t limit, std::int64_t demand,
@@ -40,9 +51,15 @@
 }
 
 void share_ledger::set_demand(std::uint64_t key, std::uint32_t demand) {
-  if (auto it = limits_.find(key); it != limits_.end()) {
-    it->second.demand = demand;
-  }
+  auto it = limits_.find(key);
+  if (it == limits_.end()) return;
+  auto& row = it->second;
+  row.demand = demand;
+  auto change =
+      std::max(demand, row.told_demand) - std::min(demand, row.told_demand);
+  if (change == 0 || change < row.limit / demand_divisor) return;
+  row.told_demand = demand;
+  mark_changed(row);
 }
 
 // The base shares of all holders add up to the limit; the holders that get the
@@ -111,33 +128,54 @@
   auto amount = std::min(room, deficit);
   if (neediest == nullptr || amount <= 0) return;
   neediest->granted += static_cast<std::uint64_t>(amount);
+  mark_changed(row);
   ensure(balance(key, row) >= 0, invariant::limit_holds,
          "a holder granted more than it holds");
 }
 
+void share_ledger::add_entry(std::uint64_t key, limit_row& row,
+                             share_message& message) {
+  auto it = row.peers.find(message.to);
+  if (it == row.peers.end()) return;
+  auto& peer = it->second;
+  if (peer.unsent > 0) --peer.unsent;
+  message.entries.push_back({.key = key,
+                             .generation = row.generation,
+                             .granted = peer.granted,
+                             .received = peer.received,
+                             .demand = row.demand,
+                             .share = share(key)});
+}
+
 share_message share_ledger::message_to(const std::string& holder) {
-  auto message = share_message{.from = options_.holder, .to = holder};
+  auto message = share_message{.from = options_.holder,
+                               .to = holder,
+                               .start = options_.start,
+                               .heard_start = starts_[holder]};
+  for (auto& [key, row] : limits_) {
+    if (message.entries.size() >= options_.entries_per_message) break;
+    auto it = row.peers.find(holder);
+    if (it != row.peers.end() && it->second.unsent > 0) {
+      add_entry(key, row, message);
+    }
+  }
   auto& cursor = cursors_[holder];
   auto it = limits_.upper_bound(cursor);
-  auto count = std::min(options_.entries_per_message, limits_.size());
+  auto count = std::min(options_.refreshed_per_message, limits_.size());
   for (std::size_t i = 0; i < count; ++i, ++it) {
     if (it == limits_.end()) it = limits_.begin();
-    const auto& [key, row] = *it;
-    cursor = key;
-    auto peer = row.peers.find(holder);
-    if (peer == row.peers.end()) continue;
-    message.entries.push_back({.key = key,
-                               .generation = row.generation,
-                               .granted = peer->second.granted,
-                               .received = peer->second.received,
-                               .demand = row.demand,
-                               .share = share(key)});
+    cursor = it->first;
+    add_entry(it->first, it->second, message);
   }
   return message;
 }
 
 void share_ledger::receive(const share_message& message) {
   if (message.to != options_.holder) return;
+  auto& start = starts_[message.from];
+  if (message.start < start) return;
+  start = message.start;
+  auto is_answer = message.heard_start == options_.start;
   for (const auto& it : message.entries) {
     auto found = limits_.find(it.key);
     if (found == limits_.end()) continue;
@@ -146,13 +184,14 @@
     auto peer = row.peers.find(message.from);
     if (peer == row.peers.end()) continue;
     auto& view = peer->second;
+    if (it.granted > view.received) mark_changed(row);
     view.received = std::max(view.received, it.granted);
     view.acknowledged = std::max(view.acknowledged, it.received);
     // A predecessor of this holder may have granted what is not known here.
     view.granted = std::max(view.granted, it.received);
     view.demand = it.demand;
     view.share = it.share;
-    view.heard = true;
+    view.heard = view.heard || is_answer;
   }
 }
 
