--- a/src/state/jobs.cc
+++ b/src/state/jobs.cc
@@ -67,6 +67,22 @@
            });
 }
 
+void commit_cancel(const platform_stores& stores, job_info job,
+                   const std::string& transaction_id, callback<job_info> done) {
+  const auto key = job_key(job.caller, job.id);
+  job.state = job_state::cancelling;
+  stores.table.commit({.id = transaction_id,
+                       .conditions = {{key, job.version}},
+                       .writes = {{key, job_value(job)}}},
+                      [stores, job, done = std::move(done)](
+                          const absl::StatusOr<commit_result>& result) {
+                        if (!result.ok()) return done(result.status());
+                        if (result->committed) return done(job);
+                        // Another VM closed or cancelled the job in between.
+                        find_job(stores, job.caller, job.id, done);
+                      });
+}
+
 absl::StatusOr<job_info> job_of_row(const table_row& row) {
   if (row.version > 0) return parse_job(row);
   return make_error(error_code::not_found, "no such job");
@@ -236,22 +252,13 @@
 void cancel_job(const platform_stores& stores, const std::string& caller,
                 const std::string& job_id, const std::string& transaction_id,
                 callback<job_info> done) {
-  find_job(stores, caller, job_id, [=](const absl::StatusOr<job_info>& found) {
+  const auto cancel_found = [stores, transaction_id, done = std::move(done)](
+                                const absl::StatusOr<job_info>& found) {
     if (!found.ok()) return done(found.status());
     if (found->state != job_state::open) return done(*found);
-    auto job = *found;
-    job.state = job_state::cancelling;
-    const auto key = detail::job_key(caller, job_id);
-    stores.table.commit({.id = transaction_id,
-                         .conditions = {{key, job.version}},
-                         .writes = {{key, detail::job_value(job)}}},
-                        [=](const absl::StatusOr<commit_result>& result) {
-                          if (!result.ok()) return done(result.status());
-                          if (result->committed) return done(job);
-                          // Another VM closed or cancelled the job in between.
-                          find_job(stores, caller, job_id, done);
-                        });
-  });
+    detail::commit_cancel(stores, *found, transaction_id, done);
+  };
+  find_job(stores, caller, job_id, cancel_found);
 }
 
 void find_progress(const platform_stores& stores, const job_info& job,
--- a/support/program-tests.cmake
+++ b/support/program-tests.cmake
@@ -1,1 +1,17 @@
 # Tests that run the built programs as a user would.
+
+# A run with every fault, and one without each safeguard, which must break.
+add_test(NAME soak COMMAND fulmar-soak --seed 1 --seeds 12)
+set_tests_properties(soak PROPERTIES TIMEOUT 300 PASS_REGULAR_EXPRESSION
+                     "soak: ok seeds 12")
+foreach(safeguard fencing started_record dedupe)
+  add_test(NAME soak-without-${safeguard} COMMAND fulmar-soak --seed 1 --seeds
+                                                  20 --without ${safeguard})
+endforeach()
+set_tests_properties(
+  soak-without-fencing PROPERTIES PASS_REGULAR_EXPRESSION
+  "soak: broken at seed [0-9]+: invariant one_result is broken")
+set_tests_properties(
+  soak-without-started_record soak-without-dedupe
+  PROPERTIES PASS_REGULAR_EXPRESSION
+             "soak: broken at seed [0-9]+: invariant at_most_once is broken")
