--- a/include/fulmarpitch/state/recorder.h
+++ b/include/fulmarpitch/state/recorder.h
@@ -20,9 +20,9 @@
   std::string name;
   std::uint64_t random_seed = 1;
   /// Time between two groups of results.
-  instant result_interval = std::chrono::milliseconds(500);
+  instant result_interval = std::chrono::seconds(1);
   /// Time between two groups of claims; a claim delays its request.
-  instant claim_interval = std::chrono::milliseconds(50);
+  instant claim_interval = std::chrono::milliseconds(200);
   /// Bounds of everything that is not in the stores yet.
   std::size_t most_pending = 20'000;
   std::size_t most_pending_bytes = std::size_t{16} * 1024 * 1024;
--- a/test/membership-network.h
+++ b/test/membership-network.h
@@ -175,7 +175,7 @@
         extra += it->second.extra_delay;
       }
       queue_.emplace(now + instant(delay) + extra,
-                    datagram{from, out.to_address, out.message});
+                     datagram{from, out.to_address, out.message});
     }
   }
 
