Accept either broken invariant of a run without dedupe

Without the key's row a request that is sent again runs under a second id. When it may not be repeated this breaks at_most_once, otherwise one_result; which of them a seed meets first depends on the timing. It now names both; a run that breaks nothing, or anything else, fails it as before.

--- a/support/program-tests.cmake
+++ b/support/program-tests.cmake
@@ -12,6 +12,8 @@
   soak-without-fencing PROPERTIES PASS_REGULAR_EXPRESSION
   "soak: broken at seed [0-9]+: invariant one_result is broken")
 set_tests_properties(
-  soak-without-started_record soak-without-dedupe
-  PROPERTIES PASS_REGULAR_EXPRESSION
-             "soak: broken at seed [0-9]+: invariant at_most_once is broken")
+  soak-without-started_record PROPERTIES PASS_REGULAR_EXPRESSION
+  "soak: broken at seed [0-9]+: invariant at_most_once is broken")
+set_tests_properties(
+  soak-without-dedupe PROPERTIES PASS_REGULAR_EXPRESSION
+  "soak: broken at seed [0-9]+: invariant (one_result|at_most_once) is broken")
