--- a/include/fulmarpitch/soak/soak.h
+++ b/include/fulmarpitch/soak/soak.h
@@ -14,13 +14,22 @@
 namespace fulmar {
 
 /// A safeguard that a run can do without, to show what it is for.
-enum class safeguard { none, fencing, started_record, dedupe };
+enum class safeguard {
+  none,
+  fencing,
+  started_record,
+  dedupe,
+  group_numbers,
+  job_state
+};
 
-inline constexpr std::array<named<safeguard>, 4> safeguard_names{{
+inline constexpr std::array<named<safeguard>, 6> safeguard_names{{
     {safeguard::none, "none"},
     {safeguard::fencing, "fencing"},
     {safeguard::started_record, "started_record"},
     {safeguard::dedupe, "dedupe"},
+    {safeguard::group_numbers, "group_numbers"},
+    {safeguard::job_state, "job_state"},
 }};
 
 /// Every kind of fault that a run injects.
--- a/programs/fulmar-soak.cc
+++ b/programs/fulmar-soak.cc
@@ -26,8 +26,8 @@
   --seed N             First seed [default: 1].
   --seeds N            How many seeds to run, one after the other [default: 1].
   --rounds N           Rounds of each seed, 1 to 1000 [default: 3].
-  --without SAFEGUARD  Leave out fencing, started_record or dedupe
-                       [default: none].
+  --without SAFEGUARD  Leave out fencing, started_record, dedupe, group_numbers
+                       or job_state [default: none].
 
 Exit codes: 0 when all invariants held, 1 when one broke or a kind of fault was
 never injected, 2 for a wrong option.
@@ -126,8 +126,10 @@
   }
   const auto without = value_in(safeguard_names, args["--without"].asString());
   if (!without) {
-    return wrong_option("--without", args["--without"].asString(),
-                        "none, fencing, started_record or dedupe");
+    return wrong_option(
+        "--without", args["--without"].asString(),
+        "none, fencing, started_record, dedupe, group_numbers or "
+        "job_state");
   }
   return run({.seed = *seed,
               .rounds = static_cast<std::uint32_t>(*rounds),
--- a/src/soak/batch.cc
+++ b/src/soak/batch.cc
@@ -18,6 +18,8 @@
 constexpr auto longest_run = instant(std::chrono::seconds(2));
 constexpr auto search_pause = instant(std::chrono::milliseconds(500));
 constexpr std::uint64_t resend_per_mille = 300;
+constexpr std::uint64_t late_resend_per_mille = 3;
+constexpr std::uint64_t look_per_mille = 20;
 constexpr std::uint64_t item_failure_per_mille = 50;
 
 std::string item_id(std::uint64_t number) {
@@ -147,7 +149,10 @@
   const auto failed = [&it, number] { it.jobs.at(number).reading = false; };
   find_job(it.stores, job.job->caller, job.job->id,
            [&it, number, failed](const auto& found) {
-             if (!found.ok() || !is_final(found->state)) return failed();
+             if (!found.ok()) return failed();
+             ensure(is_final(found->state) || !it.jobs.at(number).content,
+                    invariant::cancelled_stops, "a final job is open again");
+             if (!is_final(found->state)) return failed();
              read_content(it, *found, [&it, number](const auto& text) {
                auto& same = it.jobs.at(number);
                same.reading = false;
@@ -293,7 +298,12 @@
       request_cancel(it, job);
       continue;
     }
-    const auto turn = draw(it, 1000) < 20;
+    if (chance(it, late_resend_per_mille)) {
+      count_fault(it, soak_fault::job_resent);
+      request_job(it, job);
+      continue;
+    }
+    const auto turn = draw(it, 1000) < look_per_mille;
     if (!job.reading && turn) look_at_job(it, job);
   }
 }
--- a/src/soak/run.cc
+++ b/src/soak/run.cc
@@ -25,6 +25,10 @@
       return "started/";
     case safeguard::dedupe:
       return "key/";
+    case safeguard::group_numbers:
+      return "result-head/";
+    case safeguard::job_state:
+      return "job/";
     case safeguard::none:
       break;
   }
--- a/support/program-tests.cmake
+++ b/support/program-tests.cmake
@@ -4,12 +4,12 @@
 add_test(NAME soak COMMAND fulmar-soak --seed 1 --seeds 12)
 set_tests_properties(soak PROPERTIES TIMEOUT 300 PASS_REGULAR_EXPRESSION
                      "soak: ok seeds 12")
-foreach(safeguard fencing started_record dedupe)
+foreach(safeguard fencing started_record dedupe group_numbers job_state)
   add_test(NAME soak-without-${safeguard} COMMAND fulmar-soak --seed 1 --seeds
                                                   20 --without ${safeguard})
 endforeach()
 set_tests_properties(
-  soak-without-fencing PROPERTIES PASS_REGULAR_EXPRESSION
+  soak-without-fencing soak-without-group_numbers PROPERTIES PASS_REGULAR_EXPRESSION
   "soak: broken at seed [0-9]+: invariant one_result is broken")
 set_tests_properties(
   soak-without-started_record PROPERTIES PASS_REGULAR_EXPRESSION
@@ -17,3 +17,6 @@
 set_tests_properties(
   soak-without-dedupe PROPERTIES PASS_REGULAR_EXPRESSION
   "soak: broken at seed [0-9]+: invariant (one_result|at_most_once) is broken")
+set_tests_properties(
+  soak-without-job_state PROPERTIES PASS_REGULAR_EXPRESSION
+  "soak: broken at seed [0-9]+: invariant cancelled_stops is broken")
