Keep compiled patterns between schema checks; bound the address pattern

Change: one validator for each thread keeps the patterns; the pattern is bounded. Callbacks are taken by reference where they are only copied on.

--- a/include/fulmarpitch/config/operator-api.h
+++ b/include/fulmarpitch/config/operator-api.h
@@ -39,6 +39,7 @@
 /// \param now wall-clock time, kept in the ticket's row.
 /// \param done receives the answer once.
 void answer_operator(const operator_api& api, const http_request& request,
-                     instant now, std::function<void(http_response)> done);
+                     instant now,
+                     const std::function<void(http_response)>& done);
 
 }  // namespace fulmar
--- a/include/fulmarpitch/config/tickets.h
+++ b/include/fulmarpitch/config/tickets.h
@@ -168,7 +168,7 @@
 absl::StatusOr<config_head> parse_head(const table_row& row);
 
 /// Reads the newest version; version 0 before the first ticket.
-void read_head(const config_stores& stores, callback<config_head> done);
+void read_head(const config_stores& stores, const callback<config_head>& done);
 
 /// Checks a snapshot's bytes against the head that names them.
 /// \return the snapshot, or `internal` when the digest differs.
@@ -177,16 +177,17 @@
 
 /// Reads a version's snapshot and checks its digest.
 void read_snapshot(const config_stores& stores, config_head head,
-                   callback<config_snapshot> done);
+                   const callback<config_snapshot>& done);
 
 /// Reads one ticket; `not_found` when no ticket has the number.
 void read_ticket(const config_stores& stores, std::uint64_t number,
-                 callback<ticket_record> done);
+                 const callback<ticket_record>& done);
 
 /// Lists tickets by number.
 /// \param after only greater numbers.
 /// \param limit most tickets to give.
 void list_tickets(const config_stores& stores, std::uint64_t after,
-                  std::size_t limit, callback<std::vector<ticket_record>> done);
+                  std::size_t limit,
+                  const callback<std::vector<ticket_record>>& done);
 
 }  // namespace fulmar
--- a/src/config/operator-api.cc
+++ b/src/config/operator-api.cc
@@ -251,7 +251,8 @@
 }
 
 void answer_operator(const operator_api& api, const http_request& request,
-                     instant now, std::function<void(http_response)> done) {
+                     instant now,
+                     const std::function<void(http_response)>& done) {
   if (!is_allowed(api, request)) {
     return done(error_response(
         make_error(error_code::unauthorized, "an operator's key is needed")));
--- a/src/config/schema-text.cc
+++ b/src/config/schema-text.cc
@@ -76,7 +76,7 @@
         "address": {
           "description": "an IP number and a port, such as 10.0.0.7:8000 or [fd00::7]:8000",
           "type": "string",
-          "pattern": "^([0-9]{1,3}(\\.[0-9]{1,3}){3}|\\[[0-9a-fA-F:]+\\]):[1-9][0-9]{0,4}$"
+          "pattern": "^([0-9]{1,3}(\\.[0-9]{1,3}){3}|\\[[0-9a-fA-F:]{2,45}\\]):[1-9][0-9]{0,4}$"
         },
         "region": { "$ref": "#/definitions/name" },
         "data_centre": { "$ref": "#/definitions/name" },
--- a/src/config/tickets.cc
+++ b/src/config/tickets.cc
@@ -149,7 +149,7 @@
   }
 
   /// Answers when the number is in use; goes on when it is free.
-  void read_record(std::function<void()> if_free) {
+  void read_record(const std::function<void()>& if_free) {
     const auto key = ticket_key(ticket_.number);
     call<table_row>(
         [me = shared_from_this(), key](callback<table_row> done) {
@@ -198,14 +198,14 @@
   }
 
   /// The refused ticket may have been accepted through another VM meanwhile.
-  void refuse(ticket_answer answer) {
+  void refuse(const ticket_answer& answer) {
     read_record([me = shared_from_this(), answer] { me->done_(answer); });
   }
 
   void weigh(config_snapshot snapshot) {
     auto answer = ticket_answer{.verdict = ticket_verdict::conflict,
                                 .conflicts = conflicts_with(snapshot)};
-    if (!answer.conflicts.empty()) return refuse(std::move(answer));
+    if (!answer.conflicts.empty()) return refuse(answer);
     apply_to(snapshot);
     auto parsed = configuration_of(snapshot);
     if (!parsed.ok()) {
@@ -342,7 +342,7 @@
       ->start();
 }
 
-void read_head(const config_stores& stores, callback<config_head> done) {
+void read_head(const config_stores& stores, const callback<config_head>& done) {
   stores.tables.read(std::string(config_head_key),
                      [done](const absl::StatusOr<table_row>& row) {
                        if (!row.ok()) return done(row.status());
@@ -359,7 +359,7 @@
 }
 
 void read_snapshot(const config_stores& stores, config_head head,
-                   callback<config_snapshot> done) {
+                   const callback<config_snapshot>& done) {
   if (head.version == 0) return done(config_snapshot{});
   const auto name = head.snapshot;
   stores.objects.get(name, [head = std::move(head),
@@ -370,7 +370,7 @@
 }
 
 void read_ticket(const config_stores& stores, std::uint64_t number,
-                 callback<ticket_record> done) {
+                 const callback<ticket_record>& done) {
   stores.tables.read(
       ticket_key(number), [number, done](const absl::StatusOr<table_row>& row) {
         if (!row.ok()) return done(row.status());
@@ -384,7 +384,7 @@
 
 void list_tickets(const config_stores& stores, std::uint64_t after,
                   std::size_t limit,
-                  callback<std::vector<ticket_record>> done) {
+                  const callback<std::vector<ticket_record>>& done) {
   stores.tables.scan(
       std::string(config_ticket_prefix), ticket_key(after), limit,
       [done](const absl::StatusOr<std::vector<table_row>>& rows) {
--- a/src/config/validation.cc
+++ b/src/config/validation.cc
@@ -332,7 +332,8 @@
                                             const std::string& file) {
   const auto& schema = compiled(schema_text);
   auto results = valijson::ValidationResults();
-  auto validator = valijson::Validator();
+  // The validator keeps the compiled patterns, which are costly to build.
+  thread_local auto validator = valijson::Validator();
   const auto adapter = valijson::adapters::BoostJsonAdapter(document);
   if (validator.validate(schema.rules, adapter, &results)) return {};
   auto faults = std::vector<declaration_fault>();
--- a/src/control/declaration-commands.cc
+++ b/src/control/declaration-commands.cc
@@ -258,12 +258,14 @@
     return exit_status::ok;
   }
   body["draining"] = draining;
+  auto change = object_change{.key = key};
+  change.base_version = found->second.version;
+  change.body = json::serialize(body);
+  auto value = ticket{.number = number};
+  value.author = session.values.text("--author");
+  value.changes.push_back(std::move(change));
   auto made = ticket_answer();
-  return send_ticket(session,
-                     {number,
-                      session.values.text("--author"),
-                      {{key, found->second.version, json::serialize(body)}}},
-                     made);
+  return send_ticket(session, value, made);
 }
 
 }  // namespace fulmar
--- a/test/watcher-test.cc
+++ b/test/watcher-test.cc
@@ -40,7 +40,7 @@
   table_row older_head;
   table_row newest_head;
 
-  explicit fleet(std::size_t n, store_fault_plan plan = {})
+  explicit fleet(std::size_t n, const store_fault_plan& plan = {})
       : state(make_memory_stores(plan)), stores(stores_over(state)) {
     random.seed(plan.seed);
     for (std::size_t it = 0; it < n; ++it) {
@@ -76,7 +76,8 @@
     return own;
   }
 
-  void fetch(vm& owner, const std::string& peer, callback<std::string> done) {
+  void fetch(vm& owner, const std::string& peer,
+             const callback<std::string>& done) {
     for (const auto& it : vms) {
       if (it->name != peer || !it->has_peers || !owner.has_peers) continue;
       return done(it->watcher->snapshot_bytes());
@@ -88,8 +89,8 @@
     ++it.restarts;
     auto links = watcher_links{.stores = stores_for(it)};
     links.fetch_from_peer = [this, &it](const std::string& peer,
-                                        callback<std::string> done) {
-      fetch(it, peer, std::move(done));
+                                        const callback<std::string>& done) {
+      fetch(it, peer, done);
     };
     links.on_change = [this, &it](const configuration& value) {
       if (value.version < it.highest) ++reversals;
