Divide targets between online and batch work by the recent online load

Online work now has as many targets to itself as its recent load needs, 30% more and one target in reserve; batch has the rest, and leaves a target that goes over. Resumed batch imports its KV cache at a tenth of the work of computing it.

--- a/include/fulmarpitch/core/sequencer-state.h
+++ b/include/fulmarpitch/core/sequencer-state.h
@@ -31,12 +31,12 @@
 /// How often a request that needs a certain target looks for one.
 inline constexpr instant isolation_pause = std::chrono::milliseconds(20);
 
-/// Within this time of a burst, batch work must have given way.
-inline constexpr instant give_way_time = std::chrono::milliseconds(100);
-
 /// How long a target that gave batch work up takes no more of it.
 inline constexpr instant batch_pause = std::chrono::milliseconds(500);
 
+/// Cost for online work of a target that is full of batch work.
+inline constexpr std::int64_t batch_target_us = 100'000;
+
 /// Cost of leaving the region; above any cost within it.
 inline constexpr std::int64_t cross_region_us = 60'000'000;
 
@@ -90,6 +90,8 @@
   /// When the prompts admitted so far have been taken in.
   instant prefill_until{};
   instant batch_paused_until{};
+  /// Batch sequences that may be admitted.
+  std::uint32_t batch_limit = 0;
   std::uint64_t cache_sequence = 0;
   sliding_peak recent_running;
 };
@@ -103,6 +105,12 @@
   std::vector<double> output_share;
 };
 
+/// Work that arrives, in engines kept busy; decays with time.
+struct load_average {
+  double engines = 0;
+  instant at{};
+};
+
 /// All the tables.
 struct sequencer_state {
   sequencer_options options;
@@ -118,14 +126,14 @@
   std::set<std::pair<instant, row_id>> deadlines;
   prefix_index prefixes;
   suspect_table suspects;
+  /// When targets were lost lately.
+  std::vector<instant> losses;
   retry_budget retries;
   sliding_sum served;
-  sliding_peak bursts;
-  /// Online work that arrives, in engines kept busy; decays with time.
-  double online_load = 0;
-  instant online_load_at{};
-  instant burst_start{};
-  std::int64_t burst_size = 0;
+  load_average steady_load;
+  load_average burst_load;
+  /// Average work of an online request, in microseconds of a full engine.
+  double request_us = 0;
   std::uint64_t last_arrival = 0;
   std::uint64_t last_number = 0;
   std::uint64_t random = 1;
@@ -209,15 +217,13 @@
 
 // Batch against online: src/core/sequencer-preemption.cc
 void note_arrival(sequencer_state& s, const request_row& row, instant now);
-/// Share of the pool's capacity that recent online arrivals need.
+/// Engines that recent online arrivals keep busy.
 double online_load(const sequencer_state& s, instant now);
-/// Slots to keep free of batch work on each target.
-std::uint32_t reserve_slots(const sequencer_state& s, instant now);
-/// Whether online work leaves the pool capacity for new batch work.
-bool batch_may_enter(const sequencer_state& s, instant now);
+/// Divides the targets between online and batch work, by the recent online
+/// load and its bursts.
+void divide_targets(sequencer_state& s, instant now);
 /// Whether batch work leaves the targets for latency within reach.
-bool batch_fits(const sequencer_state& s, const target_row& it,
-                std::uint32_t reserve, instant now);
+bool batch_fits(const sequencer_state& s, const target_row& it, instant now);
 /// Takes batch work back where online work needs its place.
 void preempt_batch(sequencer_state& s, instant now);
 
--- a/include/fulmarpitch/core/suspects.h
+++ b/include/fulmarpitch/core/suspects.h
@@ -32,6 +32,9 @@
   /// A request with this content completed: it crashes nothing.
   void clear(std::uint64_t content);
 
+  /// Nothing is suspect any more; what is quarantined stays so.
+  void absolve() { suspect_until_.clear(); }
+
   void quarantine(std::uint64_t content, instant now);
   bool is_suspect(std::uint64_t content, instant now) const;
   bool is_quarantined(std::uint64_t content, instant now) const;
--- a/include/fulmarpitch/model/engine.h
+++ b/include/fulmarpitch/model/engine.h
@@ -25,6 +25,8 @@
   std::uint32_t prompt_tokens = 0;
   std::uint32_t output_tokens = 0;
   std::uint32_t kv_tokens = 0;
+  /// Tokens whose KV cache is imported instead of computed.
+  std::uint32_t imported_tokens = 0;
   std::vector<std::uint64_t> blocks;
   bool crashes = false;
 
--- a/include/fulmarpitch/model/world.h
+++ b/include/fulmarpitch/model/world.h
@@ -36,6 +36,8 @@
   std::vector<caller_load> callers = {{}};
   bool has_batch = false;
   bool can_resume = true;
+  /// Work of resuming with an exported KV cache, over computing it again.
+  double kv_import_share = 0.1;
   double mean_prompt_tokens = 600;
   double mean_output_tokens = 120;
   std::uint32_t max_tokens = 480;
--- a/src/core/sequencer-preemption.cc
+++ b/src/core/sequencer-preemption.cc
@@ -10,21 +10,43 @@
 // thousandths of the target for the first token, per point of preference.
 constexpr std::int64_t prefill_permille_per_point = 1;
 
-// Online arrivals are averaged over about this time.
-constexpr instant load_time = std::chrono::milliseconds(200);
+// Online arrivals are averaged over about these times: the long one is steady,
+// the short one sees a burst.
+constexpr instant steady_time = std::chrono::milliseconds(500);
+constexpr instant burst_time = std::chrono::milliseconds(150);
 
-// Online load above which no batch work is admitted, at preference 0 and 100.
-constexpr double least_load_limit = 0.5;
-constexpr double most_load_limit = 1.0;
+// Standard deviations by which the short average must stand out.
+constexpr double burst_deviations = 2;
 
-double decay(instant elapsed) {
+// A request weighs this much in the average work of one.
+constexpr double request_weight = 0.02;
+
+// Capacity that online targets have beyond the recent load, in percent.
+constexpr double headroom_percent = 30;
+
+// Share of the targets that online work has besides, one target at most.
+constexpr double reserve_share = 0.1;
+
+// Up to this preference, batch work leaves a target that goes to online work
+// at once, and enters no online target.
+constexpr std::uint32_t strict_preference = 50;
+
+// Share of an online target's slots that batch may enter at preference 100.
+constexpr double most_mixed_share = 0.25;
+
+double decay(instant elapsed, instant time) {
   return std::exp(-static_cast<double>(elapsed.count()) /
-                  static_cast<double>(load_time.count()));
+                  static_cast<double>(time.count()));
 }
 
-double load_limit(const pool_policy& policy) {
-  auto preference = std::min(policy.batch_preference, 100U) / 100.0;
-  return least_load_limit + (most_load_limit - least_load_limit) * preference;
+void add(load_average& it, double engine_us, instant time, instant now) {
+  it.engines *= decay(now - it.at, time);
+  it.engines += engine_us / static_cast<double>(time.count());
+  it.at = now;
+}
+
+double value(const load_average& it, instant time, instant now) {
+  return it.engines * decay(now - it.at, time);
 }
 
 std::uint32_t reference_slots(const sequencer_state& s) {
@@ -34,6 +56,14 @@
   return 0;
 }
 
+std::uint32_t preference(const sequencer_state& s) {
+  return std::min(s.policy.batch_preference, 100U);
+}
+
+bool is_open(const target_row& it) {
+  return it.is_known && !it.is_lost && !it.info.leaving;
+}
+
 std::uint32_t kept_batch(const target_row& it) {
   return it.batch - it.stopping;
 }
@@ -72,10 +102,20 @@
   return true;
 }
 
-void trim_target(sequencer_state& s, target_row& it, std::uint32_t reserve,
-                 instant now) {
+// How far batch is preferred over what online work bears; 0 to 1.
+double leniency(const sequencer_state& s) {
+  auto over = std::max(preference(s), strict_preference) - strict_preference;
+  return static_cast<double>(over) / (100 - strict_preference);
+}
+
+// Batch work that a target took before it went to online work may run on up to
+// a share of the slots.
+void trim_target(sequencer_state& s, target_row& it, instant now) {
+  auto excess = static_cast<std::uint32_t>(leniency(s) *
+                                           static_cast<double>(it.info.slots));
   while (kept_batch(it) > 0) {
-    auto has_room = sequences(it) + reserve <= it.info.slots;
+    auto has_room = sequences(it) <= it.info.slots &&
+                    kept_batch(it) <= it.batch_limit + excess;
     if (has_room && meets_step_target(s, it, sequences(it))) return;
     if (!preempt_one(s, it, now)) return;
   }
@@ -94,57 +134,48 @@
 void note_arrival(sequencer_state& s, const request_row& row, instant now) {
   auto slots = std::max(1U, reference_slots(s));
   auto engine_us = static_cast<double>(service_us(s, row)) / slots;
-  s.online_load *= decay(now - s.online_load_at);
-  s.online_load += engine_us / static_cast<double>(load_time.count());
-  s.online_load_at = now;
-  if (now - s.burst_start > give_way_time) {
-    s.burst_start = now;
-    s.burst_size = 0;
-  }
-  s.bursts.add(++s.burst_size, now);
+  add(s.steady_load, engine_us, steady_time, now);
+  add(s.burst_load, engine_us, burst_time, now);
+  s.request_us += (engine_us - s.request_us) * request_weight;
 }
 
 double online_load(const sequencer_state& s, instant now) {
-  auto targets = std::count_if(
-      s.targets.begin(), s.targets.end(),
-      [](const target_row& it) { return it.is_known && !it.info.leaving; });
-  if (targets == 0) return 0;
-  return s.online_load * decay(now - s.online_load_at) /
-         static_cast<double>(targets);
-}
-
-std::uint32_t reserve_slots(const sequencer_state& s, instant now) {
-  auto targets = std::int64_t(0);
-  for (const auto& it : s.targets)
-    targets += it.is_known && !it.info.leaving ? 1 : 0;
-  if (targets == 0) return 0;
-  auto scale = 200 - 2 * static_cast<std::int64_t>(
-                             std::min(s.policy.batch_preference, 100U));
-  auto slots = (s.bursts.peak(now) * scale / 100 + targets - 1) / targets;
-  return static_cast<std::uint32_t>(slots);
-}
-
-bool batch_may_enter(const sequencer_state& s, instant now) {
-  return online_load(s, now) <= load_limit(s.policy);
-}
-
-bool batch_fits(const sequencer_state& s, const target_row& it,
-                std::uint32_t reserve, instant now) {
-  if (now < it.batch_paused_until) return false;
-  // One slot more than preemption needs, so that the two do not alternate.
-  auto count = it.online + it.batch + it.unaccounted + 2;
-  if (count + reserve > it.info.slots) return false;
-  if (!meets_step_target(s, it, count)) return false;
+  auto steady = value(s.steady_load, steady_time, now);
+  auto burst = value(s.burst_load, burst_time, now);
+  // Arrivals by chance make the short average vary by this much.
+  auto variance =
+      burst * s.request_us / (2 * static_cast<double>(burst_time.count()));
+  auto deviation = burst_deviations * std::sqrt(variance);
+  return std::clamp(steady, burst - deviation, burst + deviation);
+}
+
+void divide_targets(sequencer_state& s, instant now) {
+  auto count = static_cast<double>(
+      std::count_if(s.targets.begin(), s.targets.end(), is_open));
+  auto left = online_load(s, now) * (100 + headroom_percent) / 100 +
+              std::min(1.0, reserve_share * count);
+  auto mixed = left < count ? leniency(s) : 0;
+  for (auto& it : s.targets) {
+    if (!is_open(it)) continue;
+    auto share = std::clamp(1 - left, mixed * most_mixed_share, 1.0);
+    it.batch_limit = static_cast<std::uint32_t>(share * it.info.slots);
+    left -= 1;
+  }
+}
+
+bool batch_fits(const sequencer_state& s, const target_row& it, instant now) {
+  if (now < it.batch_paused_until || it.batch >= it.batch_limit) return false;
+  auto count = sequences(it) + it.stopping + 1;
+  if (count > it.info.slots || !meets_step_target(s, it, count)) return false;
   auto allowed = s.policy.first_token_target * s.policy.batch_preference *
                  prefill_permille_per_point / 1000;
   return it.prefill_until <= now + allowed;
 }
 
 void preempt_batch(sequencer_state& s, instant now) {
-  auto reserve = reserve_slots(s, now);
   auto stopping = std::size_t(0);
   for (auto& it : s.targets) {
-    trim_target(s, it, reserve, now);
+    trim_target(s, it, now);
     stopping += it.stopping;
   }
   auto waiting = waiting_online(s);
--- a/src/core/sequencer-routing.cc
+++ b/src/core/sequencer-routing.cc
@@ -100,17 +100,17 @@
   s.prefixes.match(row.item.prefix_blocks, now, s.depths);
   s.costs.clear();
   auto mean = mean_running(s);
-  auto reserve = is_batch(row) ? reserve_slots(s, now) : 0;
-  if (is_batch(row) && !batch_may_enter(s, now)) return {};
   auto suspect = s.suspects.is_suspect(row.item.content_hash, now);
   for (target_id id = 0; id < s.targets.size(); ++id) {
     const auto& it = s.targets[id];
     if (!may_take(it, row)) continue;
     if (suspect && it.suspects > 0) continue;
-    if (is_batch(row) && !batch_fits(s, it, reserve, now)) continue;
+    if (is_batch(row) && !batch_fits(s, it, now)) continue;
     auto abroad = !it.info.region.empty() && it.info.region != s.options.region;
     if (abroad && !may_cross(s, row, now)) continue;
     auto cost = cost_of(it, row, s.depths[id], mean, now);
+    if (!is_batch(row) && it.info.slots > 0)
+      cost += batch_target_us * it.batch / it.info.slots;
     s.costs.emplace_back(cost + (abroad ? cross_region_us : 0), id);
   }
   auto count = std::min(recorded_candidates, s.costs.size());
--- a/src/core/sequencer-targets.cc
+++ b/src/core/sequencer-targets.cc
@@ -8,6 +8,16 @@
 // How far back an own count may explain a lagging report, in seconds.
 constexpr std::size_t report_window = 8;
 
+// So many losses within this time come from the machines, not from content.
+constexpr std::size_t outage_losses = 3;
+constexpr instant outage_time = std::chrono::seconds(2);
+
+bool is_outage(sequencer_state& s, instant now) {
+  std::erase_if(s.losses, [now](instant it) { return it + outage_time < now; });
+  s.losses.push_back(now);
+  return s.losses.size() >= outage_losses;
+}
+
 }  // namespace
 
 target_id target_named(sequencer_state& s, const std::string& name) {
@@ -74,6 +84,7 @@
   if (it.is_lost) return;
   it.is_lost = true;
   it.lost_at = now;
+  if (is_outage(s, now)) return s.suspects.absolve();
   auto contents = std::vector<std::uint64_t>();
   for (auto row : it.running)
     contents.push_back(s.requests[row].item.content_hash);
--- a/src/core/sequencer.cc
+++ b/src/core/sequencer.cc
@@ -68,6 +68,7 @@
   auto& s = *state_;
   expire(s, now);
   release_held(s, now);
+  divide_targets(s, now);
   admit_all(s, now);
   preempt_batch(s, now);
   if (now - s.swept_at >= sweep_interval) {
--- a/src/model/world.cc
+++ b/src/model/world.cc
@@ -266,12 +266,19 @@
            .prompt_tokens = log.item.prompt_tokens + log.produced,
            .output_tokens = log.output_tokens - log.produced,
            .kv_tokens = log.item.prompt_tokens + log.item.max_tokens,
+           .imported_tokens = imported_tokens(log),
            .blocks = log.item.prefix_blocks,
            .crashes = log.crashes},
           now_);
     plan_step(it.target);
   }
 
+  std::uint32_t imported_tokens(const request_log& log) const {
+    if (log.produced == 0) return 0;
+    auto all = log.item.prompt_tokens + log.produced;
+    return static_cast<std::uint32_t>((1 - options_.kv_import_share) * all);
+  }
+
   void note_admission(const request_log& log, const action& it) {
     auto is_batch = log.item.kind == work_kind::batch;
     tally_.batch_running += is_batch ? 1 : 0;
