--- a/include/fulmarpitch/core/limits.h
+++ b/include/fulmarpitch/core/limits.h
@@ -32,14 +32,22 @@
 /// Most retries that can be saved up.
 inline constexpr std::int64_t max_saved_retries = 200;
 
+/// Retries allowed without any first attempt, in thousandths a second: what
+/// was lost last must not wait for new traffic.
+inline constexpr std::int64_t idle_retry_permille = 1000;
+
 /// Bounds retries to a fraction of first attempts.
 struct retry_budget {
   std::int64_t permille = 5000;
+  instant filled_at{};
 };
 
 /// Earns for a first attempt.
 void earn(retry_budget& budget);
 
+/// Earns for the whole seconds that have passed.
+void refill(retry_budget& budget, instant now);
+
 /// Pays for a retry.
 /// \return whether the budget allows it.
 bool spend(retry_budget& budget);
--- a/src/core/limits.cc
+++ b/src/core/limits.cc
@@ -52,6 +52,16 @@
       std::min(budget.permille + retry_permille, max_saved_retries * 1000);
 }
 
+void refill(retry_budget& budget, instant now) {
+  auto elapsed =
+      std::chrono::floor<std::chrono::seconds>(now - budget.filled_at);
+  if (elapsed.count() <= 0) return;
+  budget.filled_at += elapsed;
+  budget.permille =
+      std::min(budget.permille + elapsed.count() * idle_retry_permille,
+               std::max(budget.permille, idle_retry_permille));
+}
+
 bool spend(retry_budget& budget) {
   if (budget.permille < 1000) return false;
   budget.permille -= 1000;
--- a/src/core/sequencer-limits.cc
+++ b/src/core/sequencer-limits.cc
@@ -156,6 +156,7 @@
 }
 
 void release_held(sequencer_state& s, instant now) {
+  refill(s.retries, now);
   auto due = std::vector<row_id>();
   for (const auto& [until, row] : s.held) {
     if (until > now) break;
