Never work on one chunk twice on the same VM

Ruled out: the HTTP calls, which each came back within 0.2 s when sent alone. Change: the runner passes over a chunk that it works on already, and logs how each chunk ended.

--- a/src/daemon/batch-runner.cc
+++ b/src/daemon/batch-runner.cc
@@ -6,7 +6,6 @@
 #include <map>
 #include <optional>
 #include <random>
-#include <set>
 #include <vector>
 
 #include "fulmarpitch/core/errors.h"
@@ -99,6 +98,7 @@
   }
 
   void look(instant now);
+  bool works_on(const chunk_candidate& wanted) const;
   void tick_chunk(std::uint64_t number, running_chunk& it, instant now);
   void start_items(std::uint64_t number, running_chunk& it, instant now);
   bool start_item(std::uint64_t number, running_chunk& it, std::size_t index,
@@ -114,7 +114,6 @@
   chunk_finder finder;
   std::mt19937_64 random;
   std::map<std::uint64_t, running_chunk> chunks;
-  std::set<std::string> leased;
   std::uint64_t last_chunk = 0;
   instant look_at{};
   bool looking = false;
@@ -122,6 +121,17 @@
   batch_runner_counts counts;
 };
 
+bool batch_runner::state::works_on(const chunk_candidate& wanted) const {
+  for (const auto& [number, it] : chunks) {
+    const auto& mine = it.holder.candidate();
+    if (mine.job.id == wanted.job.id &&
+        mine.chunk.number == wanted.chunk.number) {
+      return true;
+    }
+  }
+  return false;
+}
+
 void batch_runner::state::look(instant now) {
   if (closed || looking || now < look_at || !links.is_ready()) return;
   if (chunks.size() >= options.most_chunks || !links.in_force()) return;
@@ -138,6 +148,10 @@
           return;
         }
         if (to->closed) return;
+        if (to->works_on(**got)) {
+          to->look_at = now + to->options.look_period;
+          return;
+        }
         to->chunks.try_emplace(
             ++to->last_chunk,
             running_chunk{.holder = chunk_holder(to->links.stores,
@@ -325,6 +339,9 @@
       ++it;
       continue;
     }
+    const auto& chunk = it->second.holder.candidate();
+    LOG(INFO) << "chunk " << chunk.chunk.number << " of job " << chunk.job.id
+              << " is " << name_in(lease_state_names, ended);
     if (ended == lease_state::committed) ++s.counts.chunks_committed;
     if (ended == lease_state::lost) ++s.counts.chunks_lost;
     it = s.chunks.erase(it);
