Kill a daemon that holds work and count the results

Members are suspected for 1 s, not 3 s, before they count as dead: a sequencer's loss must be noticed while callers wait. Found on the way: the load tool read a third of its results back through the dead daemon only (15 and 17 'missing' of 256 and 257); it now takes the next daemon after a failed look.

--- a/programs/fulmar-load.cc
+++ b/programs/fulmar-load.cc
@@ -34,6 +34,9 @@
   --model NAME        Model to ask [default: demo-model].
   --requests N        Online requests to send [default: 10].
   --streams N         How many of them are streamed [default: 1].
+  --no-repeat N       How many, after the streamed ones, may run only once
+                      [default: 0].
+  --engine ADDRESS    An engine stand-in to ask how often each request ran.
   --items N           Items of the batch job; 0 for none [default: 20].
   --max-tokens N      Tokens of each answer [default: 16].
   --pause TIME        Time between two requests [default: 10ms].
@@ -44,6 +47,7 @@
 )";
 
 constexpr auto look_again = std::chrono::milliseconds(200);
+constexpr std::size_t most_failed_reads = 50;
 constexpr auto call_limit = std::chrono::seconds(60);
 
 struct load_options {
@@ -53,6 +57,8 @@
   std::string model;
   std::int64_t requests = 0;
   std::int64_t streams = 0;
+  std::int64_t no_repeat = 0;
+  std::string engine;
   std::int64_t items = 0;
   std::int64_t max_tokens = 0;
   fulmar::instant pause{};
@@ -66,6 +72,10 @@
   std::size_t missing = 0;
   std::size_t doubled = 0;
   std::size_t refused = 0;
+  /// Requests sent again after their connection broke or a `not_run`.
+  std::size_t resent = 0;
+  /// Requests that may run once and whose outcome stayed unknown.
+  std::size_t unknown = 0;
 };
 
 using answer_ptr = const absl::StatusOr<fulmar::http_response>&;
@@ -102,23 +112,56 @@
                   std::move(take));
   }
 
+  bool is_no_repeat(std::int64_t index) const {
+    return index >= options_.streams &&
+           index < options_.streams + options_.no_repeat;
+  }
+
   void send_next(std::int64_t index) {
     if (index == options_.requests) return;
     ++open_;
+    send(index, static_cast<std::size_t>(index), fulmar::instant{});
+    loop_.after(options_.pause, [this, index] { send_next(index + 1); });
+  }
+
+  void send(std::int64_t index, std::size_t through, fulmar::instant waited) {
     auto body = json::object{{"model", options_.model},
                              {"prompt", fulmar::concat("request ", index)},
                              {"max_tokens", options_.max_tokens}};
     if (index < options_.streams) body["stream"] = true;
-    call(caller(static_cast<std::size_t>(index)), options_.key,
-         {.method = "POST",
-          .target = "/v1/completions",
-          .headers = {{"Content-Type", "application/json"}},
-          .body = json::serialize(body)},
-         [this, index](answer_ptr answer) { take_online(index, answer); });
-    loop_.after(options_.pause, [this, index] { send_next(index + 1); });
+    auto request = fulmar::http_request{
+        .method = "POST",
+        .target = "/v1/completions",
+        .headers = {{"Content-Type", "application/json"},
+                    {"Idempotency-Key", fulmar::concat(run_name_, "-", index)}},
+        .body = json::serialize(body)};
+    if (is_no_repeat(index)) {
+      request.headers.push_back({"Fulmar-Repeat", "never"});
+    }
+    call(caller(through), options_.key, std::move(request),
+         [this, index, through, waited](answer_ptr answer) {
+           take_online(index, through, waited, answer);
+         });
   }
 
-  void take_online(std::int64_t index, answer_ptr answer) {
+  void take_online(std::int64_t index, std::size_t through,
+                   fulmar::instant waited, answer_ptr answer) {
+    auto not_run = answer.ok() && answer->status >= 429 &&
+                   answer->body.find("\"not_run\"") != std::string::npos;
+    if ((!answer.ok() || not_run) && waited < options_.wait) {
+      ++counts_.resent;
+      loop_.after(look_again, [this, index, through, waited] {
+        send(index, through + 1, waited + look_again);
+      });
+      return;
+    }
+    auto unknown = answer.ok() && is_no_repeat(index) &&
+                   answer->body.find("outcome_unknown") != std::string::npos;
+    if (unknown) {
+      ++counts_.unknown;
+      finish_one();
+      return;
+    }
     if (!answer.ok() || answer->status != 200) {
       auto what =
           answer.ok() ? answer->body : std::string(answer.status().message());
@@ -130,7 +173,8 @@
     ++counts_.accepted;
     auto id =
         std::string(fulmar::find_header(answer->headers, "fulmar-request-id"));
-    read_back(static_cast<std::size_t>(index) + 1, id, fulmar::instant{});
+    if (is_no_repeat(index)) once_.insert(id);
+    read_back(through + 1, id, fulmar::instant{});
   }
 
   void read_back(std::size_t through, const std::string& id,
@@ -150,28 +194,32 @@
              return;
            }
            loop_.after(look_again, [this, through, id, waited] {
-             read_back(through, id, waited + look_again);
+             read_back(through + 1, id, waited + look_again);
            });
          });
   }
 
-  void upload() {
-    auto lines = std::string();
+  std::string item_lines() const {
+    auto out = std::string();
     for (std::int64_t i = 0; i < options_.items; ++i) {
       auto body = json::object{{"model", options_.model},
                                {"prompt", fulmar::concat("item ", i)},
                                {"max_tokens", options_.max_tokens}};
-      lines += json::serialize(
+      out += json::serialize(
           json::object{{"custom_id", fulmar::concat("item-", i)},
                        {"method", "POST"},
                        {"url", "/v1/completions"},
                        {"body", std::move(body)}});
-      lines += '\n';
+      out += '\n';
     }
+    return out;
+  }
+
+  void upload() {
     call(caller(0), options_.batch_key,
          {.method = "POST",
           .target = "/v1/files?filename=load.jsonl",
-          .body = std::move(lines)},
+          .body = item_lines()},
          [this](answer_ptr answer) {
            if (!is_good("the upload", answer)) return;
            create_job(text_in(answer->body, "id"));
@@ -193,7 +241,7 @@
   }
 
   void watch_job(const std::string& id, fulmar::instant waited) {
-    call(caller(1), options_.batch_key,
+    call(caller(next_++), options_.batch_key,
          {.target = fulmar::concat("/v1/batches/", id)},
          [this, id, waited](answer_ptr answer) {
            auto status = answer.ok() && answer->status == 200
@@ -210,10 +258,18 @@
   }
 
   void read_results(const std::string& id, const std::string& suffix) {
-    call(caller(1), options_.batch_key,
+    call(caller(next_++), options_.batch_key,
          {.target = fulmar::concat("/v1/files/", id, suffix, "/content")},
          [this, id, suffix](answer_ptr answer) {
-           if (answer.ok() && answer->status == 200) count_lines(answer->body);
+           if (!answer.ok() || answer->status != 200) {
+             if (++reads_failed_ < most_failed_reads) {
+               loop_.after(look_again,
+                           [this, id, suffix] { read_results(id, suffix); });
+               return;
+             }
+           } else {
+             count_lines(answer->body);
+           }
            if (suffix == "-output") {
              read_results(id, "-errors");
              return;
@@ -259,13 +315,38 @@
   }
 
   void finish_one() {
-    if (--open_ == 0) loop_.stop();
+    if (--open_ > 0) return;
+    if (options_.engine.empty()) {
+      loop_.stop();
+      return;
+    }
+    fulmar::fetch(
+        loop_,
+        {.address = options_.engine, .request = {.target = "/fake/runs"}},
+        [this](answer_ptr answer) {
+          if (answer.ok()) count_runs(answer->body);
+          loop_.stop();
+        });
+  }
+
+  void count_runs(const std::string& body) {
+    auto runs = json::parse(body);
+    for (const auto& id : once_) {
+      const auto* n = runs.as_object().if_contains(id);
+      if (n != nullptr && n->to_number<std::uint64_t>() > 1) ++counts_.doubled;
+    }
   }
 
   fulmar::event_loop& loop_;
   load_options options_;
   tally counts_;
   std::set<std::string> seen_;
+  /// Requests that may run once.
+  std::set<std::string> once_;
+  std::string run_name_ =
+      fulmar::concat("load-", fulmar::event_loop::now().count());
+  std::size_t next_ = 1;
+  std::size_t reads_failed_ = 0;
   std::size_t open_ = 0;
 };
 
@@ -278,6 +359,8 @@
           .model = from.required("--model"),
           .requests = from.number("--requests", 0, most),
           .streams = from.number("--streams", 0, most),
+          .no_repeat = from.number("--no-repeat", 0, most),
+          .engine = from.text("--engine"),
           .items = from.number("--items", 0, most),
           .max_tokens = from.number("--max-tokens", 1, 100'000),
           .pause = from.duration("--pause", 0s, 1h),
@@ -299,10 +382,10 @@
   run.start();
   loop.run();
   const auto& it = run.counts();
+  std::printf("%s: resent %zu, refused %zu, unknown %zu\n", name.c_str(),
+              it.resent, it.refused, it.unknown);
   std::printf("%s: accepted %zu, results %zu, missing %zu, doubled %zu\n",
               name.c_str(), it.accepted, it.results, it.missing, it.doubled);
-  if (it.refused > 0)
-    std::printf("%s: refused %zu\n", name.c_str(), it.refused);
   auto whole = it.accepted == it.results && it.missing == 0 &&
                it.doubled == 0 && it.refused == 0;
   return whole ? 0 : 1;
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -24,6 +24,9 @@
 
 constexpr auto fast_period = std::chrono::milliseconds(5);
 constexpr auto slow_period = std::chrono::milliseconds(50);
+/// A sequencer's loss must be noticed while its callers still wait for a first
+/// token; a wrong suspicion costs one change of epoch.
+constexpr auto suspicion = std::chrono::milliseconds(1000);
 constexpr auto shutdown_look = std::chrono::milliseconds(50);
 constexpr std::string_view recorder_role = "recorder";
 
@@ -208,6 +211,7 @@
                                         event_loop::now().count()),
                                     .seeds = options.seeds,
                                     .remote_seeds = options.remote_seeds,
+                                    .suspicion = suspicion,
                                     .random_seed = stable_hash(name)},
                      .host = options.host,
                      .port = peers->port(),
