--- a/src/core/sequencer-preemption.cc
+++ b/src/core/sequencer-preemption.cc
@@ -21,8 +21,10 @@
 // A request weighs this much in the average work of one.
 constexpr double request_weight = 0.02;
 
-// Capacity that online targets have beyond the recent load, in percent.
-constexpr double headroom_percent = 30;
+// Capacity that online targets have beyond the recent load, as a share of it,
+// and what is added to it at preference 0.
+constexpr double headroom = 0.3;
+constexpr double strict_headroom = 0.7;
 
 // Share of the targets that online work has besides, one target at most.
 constexpr double reserve_share = 0.1;
@@ -102,7 +104,13 @@
   return true;
 }
 
-// How far batch is preferred over what online work bears; 0 to 1.
+// How far online is protected beyond the middle preference; 0 to 1.
+double strictness(const sequencer_state& s) {
+  auto under = strict_preference - std::min(preference(s), strict_preference);
+  return static_cast<double>(under) / strict_preference;
+}
+
+// How far batch is preferred beyond the middle preference; 0 to 1.
 double leniency(const sequencer_state& s) {
   auto over = std::max(preference(s), strict_preference) - strict_preference;
   return static_cast<double>(over) / (100 - strict_preference);
@@ -152,8 +160,9 @@
 void divide_targets(sequencer_state& s, instant now) {
   auto count = static_cast<double>(
       std::count_if(s.targets.begin(), s.targets.end(), is_open));
-  auto left = online_load(s, now) * (100 + headroom_percent) / 100 +
-              std::min(1.0, reserve_share * count);
+  auto left =
+      online_load(s, now) * (1 + headroom + strict_headroom * strictness(s)) +
+      std::min(1.0, reserve_share * count);
   auto mixed = left < count ? leniency(s) : 0;
   for (auto& it : s.targets) {
     if (!is_open(it)) continue;
