--- a/include/fulmarpitch/core/queues.h
+++ b/include/fulmarpitch/core/queues.h
@@ -30,7 +30,11 @@
   std::uint64_t arrival_number = 0;
   row_id row = 0;
 
-  auto operator<=>(const queue_entry&) const = default;
+  bool operator==(const queue_entry&) const = default;
+  bool operator<(const queue_entry& other) const {
+    return std::tie(deadline, arrival_number, row) <
+           std::tie(other.deadline, other.arrival_number, other.row);
+  }
 };
 
 /// A caller of a class.
--- a/src/model/engine.cc
+++ b/src/model/engine.cc
@@ -16,14 +16,16 @@
 }
 
 void cache_blocks(engine& it, const std::vector<std::uint64_t>& blocks) {
-  for (auto place = blocks.rbegin(); place != blocks.rend(); ++place) {
-    if (auto at = it.cache_places.find(*place); at != it.cache_places.end()) {
+  // The first block is touched last: a prefix outlives its continuations.
+  for (auto i = blocks.size(); i-- > 0;) {
+    auto block = blocks[i];
+    if (auto at = it.cache_places.find(block); at != it.cache_places.end()) {
       it.cache.splice(it.cache.begin(), it.cache, at->second);
       continue;
     }
-    it.cache.push_front(*place);
-    it.cache_places[*place] = it.cache.begin();
-    it.changes.added.push_back(*place);
+    it.cache.push_front(block);
+    it.cache_places[block] = it.cache.begin();
+    it.changes.added.push_back(block);
   }
   while (it.cache.size() > it.cache_limit) {
     it.changes.removed.push_back(it.cache.back());
--- a/src/model/figures.cc
+++ b/src/model/figures.cc
@@ -1,8 +1,6 @@
 #include "fulmarpitch/model/figures.h"
 
 #include <algorithm>
-#include <cstdio>
-#include <cstdlib>
 #include <map>
 
 namespace fulmar::model {
@@ -94,18 +92,6 @@
     add_online(out, it, first_tokens);
     served[it.item.caller] += tokens_of(it);
   }
-  if (getenv("DBG")) {
-    std::map<int, std::vector<double>> ph;
-    for (const auto& it : requests)
-      if (it.item.kind != work_kind::batch && it.first_token_at != instant{})
-        ph[(it.item.arrival % instant(10000000)).count() / 500000].push_back(
-            to_ms(it.first_token_at - it.item.arrival));
-    for (auto& [k, v] : ph) {
-      auto n = v.size();
-      printf("%.1f n=%zu p50 %.0f p90 %.0f p99 %.0f\n", k * .5, n,
-             quantile(v, .5), quantile(v, .9), quantile(v, .99));
-    }
-  }
   out.ttft_p50 = quantile(first_tokens, 0.5);
   out.ttft_p99 = quantile(first_tokens, 0.99);
   out.goodput /= std::chrono::duration<double>(options.duration).count();
--- a/src/model/scenarios.cc
+++ b/src/model/scenarios.cc
@@ -25,7 +25,7 @@
   return [=](const world_options& it) { return only(kind, name, make(it)); };
 }
 
-way_maker simple(simple_options options) {
+way_maker simple(const simple_options& options) {
   return [options](const world_options& it) {
     auto own = options;
     if (own.daemons == 0) own.daemons = daemons_of(it);
