--- a/src/model/scenarios.cc
+++ b/src/model/scenarios.cc
@@ -16,14 +16,16 @@
 
 using way_maker = std::function<way(const world_options&)>;
 
-way_maker ours(const std::string& name = "sequencer", bool online = true,
-               bool batch = true) {
-  return [=](const world_options& it) {
-    return sequencer_way(name, it.seed, online, batch);
-  };
+way_maker ours(const std::string& name = "sequencer") {
+  return [=](const world_options& it) { return sequencer_way(name, it.seed); };
+}
+
+way_maker only_kind(work_kind kind, const std::string& name,
+                    const way_maker& make) {
+  return [=](const world_options& it) { return only(kind, name, make(it)); };
 }
 
-way_maker simple(simple_options options) {
+way_maker simple(const simple_options& options) {
   return [options](const world_options& it) {
     auto own = options;
     if (own.daemons == 0) own.daemons = daemons_of(it);
@@ -116,8 +118,11 @@
 scenario_result run_with_batch(world_options options, double (*load)(instant)) {
   options.online_load = load;
   options.has_batch = true;
-  auto ways = std::vector<way_maker>{ours(), ours("no-batch", true, false),
-                                     ours("batch-alone", false, true)};
+  // What idle capacity allows is measured with nothing held back for online.
+  auto alone = simple({.name = "first-come"});
+  auto ways = std::vector<way_maker>{
+      ours(), only_kind(work_kind::online, "no-batch", ours()),
+      only_kind(work_kind::batch, "batch-alone", alone)};
   auto result =
       run_ways(options, joined(joined(ways, baselines()), admitters()));
   conclude_with_batch(result);
@@ -128,6 +133,11 @@
   return run_with_batch(options, bursts);
 }
 
+scenario_result run_harm_recompute(world_options options) {
+  options.kv_import_share = 1;
+  return run_with_batch(options, bursts);
+}
+
 scenario_result run_idle(const world_options& options) {
   return run_with_batch(options, short_idle);
 }
@@ -259,6 +269,8 @@
 const std::vector<scenario>& scenarios() {
   static const auto all = std::vector<scenario>{
       {"harm", "online bursts from 20% to 100% over a batch backlog", run_harm},
+      {"harm-recompute", "harm, where resumed work is computed again",
+       run_harm_recompute},
       {"idle", "capacity that is idle for three seconds", run_idle},
       {"prefix", "shared prompt prefixes, cache events late and gappy",
        run_prefix},
@@ -278,11 +290,11 @@
   switch (size) {
     case deployment::maitokulku:
       result.engines = 10;
-      result.batch_preference = 75;
+      result.batch_preference = 80;
       break;
     case deployment::lakeshore:
       result.engines = 20;
-      result.batch_preference = 10;
+      result.batch_preference = 40;
       break;
     case deployment::design:
       result.engines = 55;
