Record results whose ids name another data centre

A caller may send a keyed request again to a VM of another data centre, which takes the request over under its id. The recorder there refused the id, so its result could not be recorded. A group now holds the ids of one data centre and takes its number from that data centre's row, so the first of two results still stays, whoever recorded it.

A search for chunks begins at the job that is due first again once it found work; it went on behind the last page until it reached the end.

--- a/include/fulmarpitch/state/content-hash.h
+++ b/include/fulmarpitch/state/content-hash.h
@@ -36,7 +36,7 @@
 class hash_set {
  public:
   /// Adds a hash.
-  /// \param hash the hash.
+  /// \param hash the hash, not 0.
   /// \return whether it was absent.
   bool insert(std::uint64_t hash);
 
--- a/include/fulmarpitch/state/recorder.h
+++ b/include/fulmarpitch/state/recorder.h
@@ -52,7 +52,8 @@
   recorder(recorder&&) noexcept;
   recorder& operator=(recorder&&) noexcept;
 
-  /// Takes a result. An id that is pending already is not added again.
+  /// Takes a result. An id that is pending already is not added again. The id
+  /// may name another data centre, when a request was taken over from there.
   /// \param record the result.
   /// \param done receives its place once it is in the stores.
   /// \return `overloaded` when the recorder is full, `bad_request` for a bad
--- a/src/state/chunk-finder.cc
+++ b/src/state/chunk-finder.cc
@@ -158,6 +158,7 @@
     if (job.state == job_state::cancelling) return drop_chunks(it, job, open);
     // A random chunk, so that many VMs rarely try for the same one.
     const auto n = it->finder->random() % open.size();
+    it->finder->after.clear();
     it->done(chunk_candidate{.job = job, .chunk = open[n]});
   });
 }
--- a/src/state/recorder.cc
+++ b/src/state/recorder.cc
@@ -111,10 +111,8 @@
 recorder& recorder::operator=(recorder&&) noexcept = default;
 
 absl::Status recorder::record(result_record record, callback<recorded> done) {
-  const auto parts = parse_request_id(record.request_id);
-  if (!parts || parts->data_centre != state_->options.data_centre) {
-    return make_error(error_code::bad_request,
-                      "the request id is not of this data centre");
+  if (!parse_request_id(record.request_id)) {
+    return make_error(error_code::bad_request, "not a request id");
   }
   const auto known = state_->results.find(record.request_id) != nullptr;
   if (!known && state_->full(record.body.size())) return recorder_full();
--- a/src/state/result-writer.cc
+++ b/src/state/result-writer.cc
@@ -21,6 +21,8 @@
 
 struct result_group {
   std::vector<std::string> ids;
+  /// The data centre that the ids name; its row numbers the group.
+  std::string data_centre;
   std::string object;
   std::string bytes;
   /// Unique numbers of the ids, by the minute of their requests.
@@ -96,21 +98,20 @@
 /// of a data centre can have it, whichever recorder writes.
 void build_transaction(result_writer::state& it, const table_row& head) {
   auto& group = it.group;
-  const auto& place = it.options.data_centre;
   group.sequence = head.value.empty() ? 1 : std::stoull(head.value) + 1;
   group.transaction = {.id = next_name(it)};
   group.transaction.conditions.push_back({head.key, head.version});
   group.transaction.writes.push_back({head.key, concat(group.sequence)});
   for (const auto& [minute, ids] : group.minutes) {
     group.transaction.writes.push_back(
-        {result_row_key(place, minute, group.sequence),
+        {result_row_key(group.data_centre, minute, group.sequence),
          concat(group.object, '\n', ids)});
   }
 }
 
 void read_head(const state_ptr& it) {
   const auto weak = std::weak_ptr(it);
-  it->stores.table.read(result_head_key(it->options.data_centre),
+  it->stores.table.read(result_head_key(it->group.data_centre),
                         [weak](absl::StatusOr<table_row> row) {
                           const auto self = weak.lock();
                           if (!self) return;
@@ -166,24 +167,36 @@
   }
 }
 
-bool fits(const result_group& group, std::uint64_t minute) {
+bool fits(const result_group& group, const request_id_parts& parts) {
+  if (group.ids.empty()) return true;
+  if (group.data_centre != parts.data_centre) return false;
   if (group.ids.size() >= max_group_results) return false;
   if (group.bytes.size() >= max_group_bytes) return false;
   return group.minutes.size() < max_group_minutes ||
-         group.minutes.count(minute) > 0;
+         group.minutes.count(parts.minute) > 0;
 }
 
+void add_to_group(result_writer::state& it, const std::string& id,
+                  const request_id_parts& parts) {
+  append_result(it.pending.at(id).record, it.group.bytes);
+  it.group.data_centre = parts.data_centre;
+  it.group.minutes[parts.minute] += hex(parts.unique);
+  it.group.ids.push_back(id);
+}
+
+/// Starts a group with the oldest results that fit into it.
 void start_group(result_writer::state& it) {
   it.group.object = object_name(it);
-  while (!it.queue.empty()) {
-    const auto& id = it.queue.front();
+  auto left = std::deque<std::string>();
+  for (auto& id : it.queue) {
     const auto parts = parse_request_id(id);
-    if (!fits(it.group, parts->minute)) break;
-    append_result(it.pending.at(id).record, it.group.bytes);
-    it.group.minutes[parts->minute] += hex(parts->unique);
-    it.group.ids.push_back(id);
-    it.queue.pop_front();
+    if (fits(it.group, *parts)) {
+      add_to_group(it, id, *parts);
+    } else {
+      left.push_back(std::move(id));
+    }
   }
+  it.queue = std::move(left);
   it.step = group_step::put_object;
 }
 
--- a/test/jobs-test.cc
+++ b/test/jobs-test.cc
@@ -239,4 +239,29 @@
   CHECK(search(it, finder)->job.id == soon->job.id);
 }
 
+TEST_CASE("a search reaches jobs behind many that have no free chunk") {
+  auto it = store_bench();
+  const auto file = upload_items(it, 2);
+  auto holders = std::vector<chunk_holder>();
+  auto finder = chunk_finder(it.stores, options_of("a"));
+  constexpr auto jobs = 70;
+  for (auto n = 0; n < jobs; ++n) {
+    const auto due = instant(1h) * (n + 1);
+    create(it, {.file = file, .key = concat(n), .due = due}).value();
+  }
+  for (auto n = 0; n < jobs; ++n) {
+    auto found = search(it, finder);
+    for (auto page = 0; page < 3 && !found; ++page)
+      found = search(it, finder);
+    REQUIRE(found);
+    CHECK(found->job.due == instant(1h) * (n + 1));
+    holders.emplace_back(
+        it.stores, chunk_options{.holder = concat(n), .lease_length = 10h},
+        *found, it.now);
+    it.run(100ms, holders.back());
+  }
+  for (auto page = 0; page < 3; ++page)
+    CHECK_FALSE(search(it, finder));
+}
+
 }  // namespace
--- a/test/recorder-test.cc
+++ b/test/recorder-test.cc
@@ -91,6 +91,26 @@
   CHECK(it.find(make_result(1).request_id)->body == "first");
 }
 
+TEST_CASE("a result is recorded from another data centre") {
+  auto it = store_bench();
+  auto home = make_recorder(it, "a");
+  auto away = recorder(it.stores, {.data_centre = "dc-2", .name = "b"});
+  const auto ignore = [](const auto&) {};
+  REQUIRE(away.record(make_result(1, "away"), ignore).ok());
+  const auto own = make_request_id("dc-2", {}, 1);
+  REQUIRE(away.record({.request_id = own, .body = "own"}, ignore).ok());
+  REQUIRE(home.record(make_result(2, "home"), ignore).ok());
+  it.run(5s, away, home);
+  CHECK(away.load().results == 0);
+  REQUIRE(home.record(make_result(1, "late"), ignore).ok());
+  it.run(5s, home);
+  CHECK(it.find(make_result(1).request_id)->body == "away");
+  CHECK(it.find(make_result(2).request_id)->body == "home");
+  CHECK(it.find(own)->body == "own");
+  CHECK(code_of(home.record({.request_id = "req"}, ignore)) ==
+        error_code::bad_request);
+}
+
 TEST_CASE("a full recorder refuses and keeps what it has") {
   auto it = store_bench();
   auto writer = recorder(it.stores, {.data_centre = "dc-1",
