Read the platform in fulmar-audit and measure what a record costs

Segments are now cut every 5 s and not every 500 ms: 110 pools at two segments a second would have taken half of the store's several hundred writes a second.

Ruled out on the way: REQUEST_ID as the argument's name, for docopt takes a word with an underscore for a command; `why` then always gave exit code 2.

--- a/include/fulmarpitch/order/log.h
+++ b/include/fulmarpitch/order/log.h
@@ -4,6 +4,7 @@
 /// The sequencer's side of the proof of order, and the entry's side.
 
 #include <absl/status/status.h>
+#include <absl/status/statusor.h>
 
 #include <cstdint>
 #include <functional>
@@ -26,11 +27,16 @@
 using append_segment = std::function<void(std::string name, std::string bytes,
                                           std::function<void(absl::Status)>)>;
 
+/// Translates the answer of the recorder, or of an object store, to a put.
+/// \param written false when the name holds other bytes.
+/// \return what `append_segment` expects.
+absl::Status segment_status(const absl::StatusOr<bool>& written);
+
 /// When a segment is cut.
 struct segment_limits {
   std::size_t records = 2048;
   std::size_t bytes = 1024UL * 1024;
-  instant interval = std::chrono::milliseconds(500);
+  instant interval = std::chrono::seconds(5);
 };
 
 /// Where an epoch begins.
--- a/src/order/log.cc
+++ b/src/order/log.cc
@@ -96,6 +96,12 @@
   }
 };
 
+absl::Status segment_status(const absl::StatusOr<bool>& written) {
+  if (!written.ok()) return written.status();
+  if (*written) return {};
+  return make_error(error_code::conflict, "the name holds other bytes");
+}
+
 order_record opening_record(const epoch_start& start, instant now) {
   return {.pool = start.pool,
           .epoch = start.epoch,
--- a/support/program-tests.cmake
+++ b/support/program-tests.cmake
@@ -20,3 +20,7 @@
 set_tests_properties(
   soak-without-job_state PROPERTIES PASS_REGULAR_EXPRESSION
   "soak: broken at seed [0-9]+: invariant cancelled_stops is broken")
+
+add_test(NAME fulmar-audit-program
+         COMMAND ${CMAKE_SOURCE_DIR}/support/audit-test.sh
+                 $<TARGET_FILE:fulmar-audit> $<TARGET_FILE:fulmar-order-cost>)
