--- a/programs/fulmar-order-cost.cc
+++ b/programs/fulmar-order-cost.cc
@@ -33,7 +33,7 @@
 )";
 
 /// Records between two segments that land.
-constexpr std::uint64_t records_per_tick = 1000;
+constexpr std::uint64_t records_per_tick = 200;
 
 constexpr std::size_t class_count = 3;
 
