Work out which members may have taken records with them

A rack that takes the sequencer and an entry at once leaves a member list that shows neither, so asking the members that are left finds nobody silent and the tail would be closed without a hole. silent_members compares when each member was last seen with the time of the newest durable record.

Ruled out: counting only members that are in the list and do not answer.

--- a/include/fulmarpitch/order/succession.h
+++ b/include/fulmarpitch/order/succession.h
@@ -53,6 +53,28 @@
   std::vector<std::string> rejected;
 };
 
+/// When a member was last in the data centre's list.
+struct member_sighting {
+  std::string name;
+  instant last_seen{};
+};
+
+/// Finds the members that may have held records which nobody holds any more:
+/// seen since the newest durable record was made, without an answer. A rack
+/// that takes the sequencer and an entry at once is found by this alone, for
+/// the list no longer shows them.
+/// \param durable the epoch's segments in the object store, in order; with
+///   none, every sighting counts.
+/// \param sightings every member that was ever seen, the newest sighting.
+/// \param answered members whose records were collected, and the old owner
+///   when each record for its own entry had a witness.
+/// \param clock_margin how far the clocks of two VMs may lie apart.
+/// \return their names, for `close_inputs::silent_members`.
+std::vector<std::string> silent_members(
+    const std::vector<stored_segment>& durable,
+    const std::vector<member_sighting>& sightings,
+    const std::vector<std::string>& answered, instant clock_margin);
+
 /// Rebuilds the tail of an epoch and closes it.
 /// \param inputs what is known of the epoch.
 /// \param now the time.
--- a/src/order/succession.cc
+++ b/src/order/succession.cc
@@ -198,6 +198,27 @@
 
 }  // namespace
 
+std::vector<std::string> silent_members(
+    const std::vector<stored_segment>& durable,
+    const std::vector<member_sighting>& sightings,
+    const std::vector<std::string>& answered, instant clock_margin) {
+  auto since = instant::min();
+  if (!durable.empty()) {
+    auto decoded = decode_segment(durable.back().bytes);
+    const auto* segment = std::get_if<order_segment>(&decoded);
+    auto last = segment != nullptr ? record_in(segment->lines.back())
+                                   : std::optional<order_record>();
+    if (last) since = last->time - clock_margin;
+  }
+  auto out = std::vector<std::string>();
+  for (const auto& it : sightings) {
+    auto found = std::find(answered.begin(), answered.end(), it.name);
+    auto is_silent = found == answered.end() && it.last_seen >= since;
+    if (is_silent) out.push_back(it.name);
+  }
+  return out;
+}
+
 absl::StatusOr<epoch_end> close_epoch(const close_inputs& inputs, instant now) {
   auto end = epoch_end();
   auto rebuilt = tail();
--- a/test/order-succession-test.cc
+++ b/test/order-succession-test.cc
@@ -160,6 +160,29 @@
   }
 }
 
+TEST_CASE("members that left since the last durable record are silent") {
+  auto world = half_written();
+  auto durable = stored(world.store, epoch);
+  // The newest durable record was made at 1.
+  auto sightings = std::vector<member_sighting>{{"a", instant(9)},
+                                                {"gone-long", instant(-3)},
+                                                {"gone-margin", instant(0)},
+                                                {"gone-now", instant(1)},
+                                                {"here", instant(9)}};
+  auto answered = std::vector<std::string>{"a", "here"};
+  CHECK(silent_members(durable, sightings, answered, instant(1)) ==
+        std::vector<std::string>{"gone-margin", "gone-now"});
+  CHECK(silent_members(durable, sightings, answered, instant(0)) ==
+        std::vector<std::string>{"gone-now"});
+  CHECK(silent_members({}, sightings, answered, instant(1)).size() == 3);
+  auto inputs = world.inputs({});
+  inputs.silent_members =
+      silent_members(durable, sightings, answered, instant(1));
+  auto end = close_epoch(inputs, instant(9));
+  REQUIRE(end.ok());
+  CHECK(verdict_of(world.audit(*end)) == audit_verdict::named_gaps);
+}
+
 TEST_CASE("an epoch of which nothing was written is closed by its opening") {
   auto world = half_written();
   auto inputs = world.inputs({2, 3});
