Test the walk over a store that answers later

The HTTP object store answers after its call returns; the tests so far only walked stores that answer at once.

--- a/test/order-audit-test.cc
+++ b/test/order-audit-test.cc
@@ -241,6 +241,49 @@
   std::filesystem::remove_all(path);
 }
 
+TEST_CASE("a store that answers later is walked page by page") {
+  constexpr std::size_t object_count = 2500;
+  auto names = std::vector<std::string>();
+  for (std::size_t i = 0; i < object_count; ++i)
+    names.push_back(concat(segment_prefix, padded(i)));
+  auto later = std::vector<std::function<void()>>();
+  auto store = object_store();
+  store.list = [&](const std::string&, const std::string& after,
+                   std::size_t limit, const auto& done) {
+    auto from = std::upper_bound(names.begin(), names.end(), after);
+    auto n = std::min<std::ptrdiff_t>(names.end() - from,
+                                      static_cast<std::ptrdiff_t>(limit));
+    auto page = std::vector<std::string>(from, from + n);
+    later.emplace_back([done, page] { done(page); });
+  };
+  store.get = [&](const std::string& name, const auto& done) {
+    auto is_lost = name == names.back() && names.size() < object_count;
+    later.emplace_back([done, name, is_lost] {
+      if (is_lost) return done(make_error(error_code::not_found, "gone"));
+      done(name);
+    });
+  };
+  auto seen = std::vector<std::string>();
+  auto ends = std::vector<absl::Status>();
+  auto walk = [&] {
+    for_each_segment(
+        store, [&](const stored_segment& it) { seen.push_back(it.bytes); },
+        [&](const absl::Status& ec) { ends.push_back(ec); });
+    while (!later.empty()) {
+      auto next = std::move(later.back());
+      later.pop_back();
+      next();
+    }
+  };
+  walk();
+  CHECK(seen == names);
+  names.pop_back();
+  walk();
+  REQUIRE(ends.size() == 2);
+  CHECK(ends[0].ok());
+  CHECK(code_of(ends[1]) == error_code::not_found);
+}
+
 TEST_CASE("a story names who went ahead and by which rule") {
   auto admit = make_admit(5, "e1", 1);
   auto record = make_record(admit, {});
