--- a/test/order-succession-test.cc
+++ b/test/order-succession-test.cc
@@ -160,6 +160,29 @@
   }
 }
 
+TEST_CASE("members that left since the last durable record are silent") {
+  auto world = half_written();
+  auto durable = stored(world.store, epoch);
+  // The newest durable record was made at 1.
+  auto sightings = std::vector<member_sighting>{{"a", instant(9)},
+                                                {"gone-long", instant(-3)},
+                                                {"gone-margin", instant(0)},
+                                                {"gone-now", instant(1)},
+                                                {"here", instant(9)}};
+  auto answered = std::vector<std::string>{"a", "here"};
+  CHECK(silent_members(durable, sightings, answered, instant(1)) ==
+        std::vector<std::string>{"gone-margin", "gone-now"});
+  CHECK(silent_members(durable, sightings, answered, instant(0)) ==
+        std::vector<std::string>{"gone-now"});
+  CHECK(silent_members({}, sightings, answered, instant(1)).size() == 3);
+  auto inputs = world.inputs({});
+  inputs.silent_members =
+      silent_members(durable, sightings, answered, instant(1));
+  auto end = close_epoch(inputs, instant(9));
+  REQUIRE(end.ok());
+  CHECK(verdict_of(world.audit(*end)) == audit_verdict::named_gaps);
+}
+
 TEST_CASE("an epoch of which nothing was written is closed by its opening") {
   auto world = half_written();
   auto inputs = world.inputs({2, 3});
@@ -194,7 +217,7 @@
   auto forged = std::get<order_record>(decode_record(world.lines[4]));
   forged.previous = sha256("other");
   auto stranger = std::get<order_record>(decode_record(world.lines[4]));
-  stranger.epoch.incarnation = "z";
+  stranger.epoch.incarnation.push_back('z');
   auto inputs = world.inputs({4, 5, 6});
   for (const auto& it :
        {encode_record(forged), encode_record(stranger), std::string("[]")})
@@ -238,12 +261,12 @@
 
 TEST_CASE("two owners in a partition leave two chains and a named overlap") {
   auto world = half_written();
-  auto start =
-      epoch_start{.pool = pool,
-                  .epoch = {.number = 2, .incarnation = "b"},
-                  .owner = "b",
-                  .first_number = 5,
-                  .detail = {.provisional = true, .predecessor = epoch}};
+  auto start = epoch_start();
+  start.pool = pool;
+  start.epoch = {.number = 2, .incarnation = "b"};
+  start.owner = "b";
+  start.first_number = 5;
+  start.detail = {.provisional = true, .predecessor = epoch};
   auto write = [&](const epoch_start& at, instant from, instant to) {
     auto log = order_log({.start = at}, writer_to(world.store), from);
     log.append(make_admit(at.first_number + 1, "e2"), {}, to);
