--- a/programs/fulmar-slopes.cc
+++ b/programs/fulmar-slopes.cc
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "fulmarpitch/core/membership.h"
+#include "fulmarpitch/core/orders.h"
 #include "fulmarpitch/core/sequencer.h"
 #include "fulmarpitch/core/shares.h"
 #include "fulmarpitch/core/text.h"
@@ -302,6 +303,38 @@
   return {memory, cpu};
 }
 
+// Orders that wait for leases which others hold and renew.
+std::vector<series> measure_orders() {
+  auto memory = series{"order runner memory", "open orders", "bytes"};
+  auto cpu =
+      series{"order runner processor time", "open orders", "us a second"};
+  for (auto n : {10, 55, 220}) {
+    auto before = heap_bytes();
+    auto runner = order_runner({.holder = "vm-0"});
+    auto row = order_row{.lease = {.holder = "vm-1", .fencing_number = 1}};
+    auto version = std::uint64_t{0};
+    for (auto i = 0; i < n; ++i) {
+      runner.submit(
+          {.target = concat("runner-", i), .number = 1, .value = "model-1"});
+    }
+    auto start = cpu_seconds();
+    constexpr auto span = seconds(60);
+    constexpr auto step = milliseconds(50);
+    for (auto now = instant(0); now < span; now += step) {
+      for (const auto& command : runner.tick(now)) {
+        const auto* it = std::get_if<read_row_command>(&command);
+        if (it == nullptr) continue;
+        auto text = format_order_row(row);
+        runner.apply(row_event{it->target, true, {"", text, ++version}}, now);
+      }
+    }
+    auto size = static_cast<double>(n);
+    cpu.points.push_back({size, (cpu_seconds() - start) * 1e6 / span.count()});
+    memory.points.push_back({size, heap_bytes() - before});
+  }
+  return {memory, cpu};
+}
+
 submit_event make_submit(std::size_t i, instant now) {
   auto item = work_item();
   item.id = concat("etela-", padded(i, 12));
@@ -457,6 +490,7 @@
   print_all(measure_members(seed));
   print(measure_data_centres(seed), as_json);
   print_all(measure_shares());
+  print_all(measure_orders());
   print_all(measure_sequencer());
   print_all(measure_recorder(seed));
   return 0;
--- a/test/membership-test.cc
+++ b/test/membership-test.cc
@@ -18,6 +18,7 @@
 constexpr instant death_bound = seconds(10);
 constexpr instant leaving_bound = seconds(3);
 constexpr instant heal_bound = seconds(30);
+constexpr instant rack_bound = seconds(30);
 constexpr double bytes_per_second_bound = 3000;
 
 struct cluster {
@@ -94,6 +95,31 @@
   });
 }
 
+TEST_CASE("a lost rack of 12 is noticed by all within 30 s") {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    INFO("seed " << seed);
+    auto it = cluster(design_members, {.loss = 0.05, .seed = seed});
+    for (auto i = 1; i < 24; i += 2)
+      it.network.crash(it.addresses[i]);
+    it.network.run(rack_bound);
+    CHECK(it.network.agreed());
+  }
+}
+
+TEST_CASE("a split of 10 minutes heals within 30 s") {
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    INFO("seed " << seed);
+    auto it = cluster(design_members, {.loss = 0.01, .seed = seed});
+    it.cut_between(17);
+    it.network.run(seconds(600));
+    constexpr std::size_t deaths = 612;  // 17 members, each by 18; and back.
+    CHECK(it.network.count_changes<member_dead_output>() == deaths);
+    it.network.cuts.clear();
+    it.network.run(heal_bound);
+    CHECK(it.network.agreed());
+  }
+}
+
 TEST_CASE("a leaving target is known to all within 3 s") {
   rc::prop("35 members, 10% loss", [] {
     auto it = cluster(design_members, {.loss = 0.10, .seed = any_seed()});
