--- a/test/membership-test.cc
+++ b/test/membership-test.cc
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "../src/daemon/gossip-wire.h"
 #include "membership-network.h"
 
 using namespace fulmar;
@@ -17,6 +18,7 @@
 constexpr instant death_bound = seconds(10);
 constexpr instant leaving_bound = seconds(3);
 constexpr instant heal_bound = seconds(30);
+constexpr instant rack_bound = seconds(30);
 constexpr double bytes_per_second_bound = 3000;
 
 struct cluster {
@@ -46,6 +48,37 @@
 
 }  // namespace
 
+TEST_CASE("the wire estimate bounds the encoded datagram") {
+  rc::prop("any records", [] {
+    constexpr std::size_t headers_and_proof = 28 + 16;
+    auto text = [] { return std::string(*rc::gen::inRange(1, 24), 'x'); };
+    auto message = membership_message{.sequence = ~0ULL,
+                                      .from = text(),
+                                      .data_centre = text(),
+                                      .incarnation = ~0ULL,
+                                      .digest = {~0ULL, 1, 2, 3},
+                                      .highest_config_version = ~0ULL,
+                                      .target = text()};
+    auto n = *rc::gen::inRange(0, 5);
+    for (auto i = 0; i < n; ++i) {
+      message.members.push_back({.name = text(),
+                                 .peer_address = text(),
+                                 .http_address = text(),
+                                 .incarnation = ~0ULL,
+                                 .start = ~0ULL,
+                                 .config_version = ~0ULL,
+                                 .state = member_state::suspect,
+                                 .ready = true,
+                                 .leaving = true});
+      message.targets.push_back({text(), ~0ULL, target_state::leaving});
+      message.summaries.push_back({text(), ~0ULL, ~0ULL, 35, {text(), text()}});
+    }
+    auto bytes = encode_gossip(message).size() + headers_and_proof;
+    RC_ASSERT(bytes <= wire_bytes(message));
+    RC_ASSERT(bytes * 5 >= wire_bytes(message) * 4);
+  });
+}
+
 TEST_CASE("members join through the seeds") {
   auto it = cluster(design_members);
   CHECK(it.network.agreed());
@@ -62,6 +95,31 @@
   });
 }
 
+TEST_CASE("a lost rack of 12 is noticed by all within 30 s") {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    INFO("seed " << seed);
+    auto it = cluster(design_members, {.loss = 0.05, .seed = seed});
+    for (auto i = 1; i < 24; i += 2)
+      it.network.crash(it.addresses[i]);
+    it.network.run(rack_bound);
+    CHECK(it.network.agreed());
+  }
+}
+
+TEST_CASE("a split of 10 minutes heals within 30 s") {
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    INFO("seed " << seed);
+    auto it = cluster(design_members, {.loss = 0.01, .seed = seed});
+    it.cut_between(17);
+    it.network.run(seconds(600));
+    constexpr std::size_t deaths = 612;  // 17 members, each by 18; and back.
+    CHECK(it.network.count_changes<member_dead_output>() == deaths);
+    it.network.cuts.clear();
+    it.network.run(heal_bound);
+    CHECK(it.network.agreed());
+  }
+}
+
 TEST_CASE("a leaving target is known to all within 3 s") {
   rc::prop("35 members, 10% loss", [] {
     auto it = cluster(design_members, {.loss = 0.10, .seed = any_seed()});
