Find silent members by their last sighting; keep asking for a witness

Cause: the audit's own list of limits: a VM lost together with the sequencer was not counted as silent, and a record of the sequencer's own VM went out after 100 ms without a witness. Change: the opening of an epoch passes every sighting to silent_members(); the old owner counts as silent unless this VM saw it alive; a witness is asked until one answers; the outcome of requests whose entry was lost is recorded as unknown; the demo and the kill trial end with an audit.

--- a/include/fulmarpitch/daemon/pool-host.h
+++ b/include/fulmarpitch/daemon/pool-host.h
@@ -11,6 +11,7 @@
 
 #include "fulmarpitch/core/sequencer.h"
 #include "fulmarpitch/net/peer.h"
+#include "fulmarpitch/order/succession.h"
 #include "fulmarpitch/platform/stores.h"
 
 namespace fulmar {
@@ -28,6 +29,11 @@
   std::function<std::string(const std::string& pool)> owner_of;
   /// Live members of the data centre, this one included.
   std::function<std::vector<std::string>()> members;
+  /// Every member that was seen, also those that were lost since.
+  std::function<std::vector<member_sighting>()> sightings;
+  /// Records the outcome of a request whose entry was lost.
+  std::function<void(const std::string& request_id, const std::string& caller)>
+      record_lost;
   /// What the configuration in force says of a pool.
   std::function<pool_policy(const std::string& pool)> policy;
   std::function<std::vector<target_info>(const std::string& pool)> targets;
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -18,6 +18,7 @@
 #include "fulmarpitch/daemon/roster.h"
 #include "fulmarpitch/state/recorder.h"
 #include "peer-calls.h"
+#include "wire.h"
 
 namespace fulmar {
 namespace {
@@ -28,6 +29,8 @@
 /// token; a wrong suspicion costs one change of epoch.
 constexpr auto suspicion = std::chrono::milliseconds(1000);
 constexpr auto shutdown_look = std::chrono::milliseconds(50);
+/// Sightings older than any record that is not in the stores are dropped.
+constexpr auto sighting_retention = std::chrono::hours(2);
 constexpr std::string_view recorder_role = "recorder";
 
 std::string address_of(const std::string& host, std::uint16_t port) {
@@ -59,6 +62,8 @@
   std::string pool_owner(const std::string& pool) const;
   std::string recorder_owner() const;
   std::vector<std::string> live_members() const;
+  std::vector<member_sighting> all_sightings() const;
+  void record_lost(const std::string& id, const std::string& caller);
   std::vector<target_info> targets_of(const std::string& pool) const;
   void find_result(const std::string& id, callback<result_record> done);
   void find_lost(const std::string& id, callback<result_record> done);
@@ -87,6 +92,7 @@
   std::unique_ptr<http_server> caller_server;
   std::unique_ptr<http_server> operator_server;
   std::map<std::string, target_record> target_states;
+  std::map<std::string, instant> sightings;
   std::string last_recorder;
   bool leaving = false;
   bool ended = false;
@@ -137,6 +143,9 @@
       .region = options.region,
       .owner_of = [this](const auto& pool) { return pool_owner(pool); },
       .members = [this] { return live_members(); },
+      .sightings = [this] { return all_sightings(); },
+      .record_lost = [this](const auto& id,
+                            const auto& caller) { record_lost(id, caller); },
       .policy =
           [this](const auto& pool) {
             auto it = watcher->in_force();
@@ -386,6 +395,33 @@
   return out;
 }
 
+std::vector<member_sighting> entry_daemon::state::all_sightings() const {
+  auto out = std::vector<member_sighting>();
+  for (const auto& [name, at] : sightings)
+    out.push_back({name, at});
+  return out;
+}
+
+void entry_daemon::state::record_lost(const std::string& id,
+                                      const std::string& caller) {
+  auto now = event_loop::now();
+  auto record = result_record{
+      .request_id = id,
+      .caller = caller,
+      .code = error_code::outcome_unknown,
+      .what = outcome::unknown,
+      .status = http_status(error_code::outcome_unknown),
+      .body = error_body(error_code::outcome_unknown, outcome::unknown,
+                         "the VM that held the request was lost"),
+      .started = now,
+      .finished = now};
+  auto status = results->record(std::move(record), [](const auto&) {});
+  if (!status.ok()) {
+    LOG(ERROR) << "the outcome of " << id
+               << " can't be recorded: " << status.message();
+  }
+}
+
 std::vector<target_info> entry_daemon::state::targets_of(
     const std::string& pool) const {
   auto in_force = watcher->in_force();
@@ -459,10 +495,13 @@
   auto now = event_loop::now();
   auto& joined = members->members();
   for (const auto& it : joined.members()) {
-    if (it.name != name && it.state != member_state::dead) {
-      watcher->heard(it.name, it.config_version, now);
-    }
+    if (it.state == member_state::dead) continue;
+    sightings[it.name] = now;
+    if (it.name != name) watcher->heard(it.name, it.config_version, now);
   }
+  std::erase_if(sightings, [now](const auto& it) {
+    return now - it.second > sighting_retention;
+  });
   watcher->tick(now);
   if (auto it = watcher->in_force()) joined.set_config_version(it->version);
   joined.set_ready(is_ready());
--- a/src/daemon/epoch-opening.cc
+++ b/src/daemon/epoch-opening.cc
@@ -2,6 +2,8 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
+
 #include "fulmarpitch/core/errors.h"
 
 namespace fulmar {
@@ -9,6 +11,8 @@
 
 /// Longest wait for the records that the members held.
 constexpr auto collect_wait = std::chrono::seconds(1);
+/// How far the clocks of two VMs may lie apart.
+constexpr auto clock_margin = std::chrono::seconds(1);
 constexpr auto retry_delay = std::chrono::milliseconds(200);
 constexpr std::size_t list_page = 1000;
 
@@ -46,6 +50,7 @@
     return;
   }
   old_epoch_ = opening->epoch;
+  old_owner_ = opening->origin;
   collect();
 }
 
@@ -79,7 +84,6 @@
   options_.links.loop->after(collect_wait, [self = shared_from_this()] {
     if (!self->collecting_) return;
     self->collecting_ = false;
-    self->inputs_.silent_members = self->waiting_for_;
     self->list_segments("");
   });
 }
@@ -87,6 +91,7 @@
 void epoch_opening::take_records(const std::string& from,
                                  const std::vector<std::string>& lines) {
   if (!collecting_ || std::erase(waiting_for_, from) == 0) return;
+  answered_.push_back(from);
   inputs_.collected.insert(inputs_.collected.end(), lines.begin(), lines.end());
   if (!waiting_for_.empty()) return;
   collecting_ = false;
@@ -126,6 +131,18 @@
 }
 
 void epoch_opening::close_old() {
+  auto sightings = options_.links.sightings();
+  auto saw_owner =
+      std::any_of(sightings.begin(), sightings.end(),
+                  [this](const auto& it) { return it.name == old_owner_; });
+  if (saw_owner) {
+    // Records of the owner's own entry had this VM or another as witness.
+    answered_.push_back(old_owner_);
+  } else {
+    sightings.push_back({old_owner_, event_loop::now()});
+  }
+  inputs_.silent_members =
+      silent_members(inputs_.durable, sightings, answered_, clock_margin);
   auto end = close_epoch(inputs_, event_loop::now());
   if (!end.ok()) {
     LOG(ERROR) << "cannot close epoch " << to_text(old_epoch_) << " of pool "
@@ -185,6 +202,7 @@
       return;
     }
     self->last_segment_.clear();
+    self->answered_.clear();
     self->start();
   });
 }
--- a/src/daemon/epoch-opening.h
+++ b/src/daemon/epoch-opening.h
@@ -58,6 +58,8 @@
   take_opened done_;
   epoch_row row_;
   epoch_id old_epoch_;
+  std::string old_owner_;
+  std::vector<std::string> answered_;
   std::string last_segment_;
   close_inputs inputs_;
   epoch_end end_;
--- a/src/daemon/pool-host.cc
+++ b/src/daemon/pool-host.cc
@@ -16,7 +16,7 @@
 namespace fulmar {
 namespace {
 
-/// Longest wait for a second member to keep a record.
+/// Longest wait for a second member to keep a record before another is asked.
 constexpr auto witness_wait = std::chrono::milliseconds(100);
 /// Records that one tick may add besides one for each request.
 constexpr std::size_t tick_room = 64;
@@ -74,8 +74,7 @@
   void carry_out(pool& it, const sequencer_command& command, instant now);
   void deliver(const std::string& model, const sequencer_command& command,
                const std::string& line);
-  void ask_witness(const std::string& witness, const std::string& line,
-                   std::function<void()> then);
+  void ask_witness(const std::string& line, std::function<void()> then);
   void count(const sequencer_command& command);
   void announce_durable(pool& it);
   void abandon(pool& it);
@@ -213,37 +212,37 @@
                                 .class_name = known.class_name},
                                now);
   if (std::holds_alternative<refuse_command>(command)) it.contexts.erase(id);
-  auto witness = std::string();
-  if (record.needs_witness) {
-    for (const auto& name : links.members()) {
-      if (name != links.self) witness = name;
-    }
-  }
-  if (witness.empty()) {
+  if (!record.needs_witness) {
     deliver(it.model, command, record.line);
     return;
   }
   auto self = std::weak_ptr(shared_from_this());
-  ask_witness(witness, record.line,
+  ask_witness(record.line,
               [self, model = it.model, command, line = record.line] {
                 if (auto to = self.lock()) to->deliver(model, command, line);
               });
 }
 
-void pool_host::state::ask_witness(const std::string& witness,
-                                   const std::string& line,
+void pool_host::state::ask_witness(const std::string& line,
                                    std::function<void()> then) {
+  auto others = links.members();
+  std::erase(others, links.self);
+  if (others.empty()) {
+    then();
+    return;
+  }
   auto id = ++last_witness;
   witnessed[id] = std::move(then);
   auto out = wire::witnessT();
   out.id = id;
   out.record = to_bytes(line);
-  links.peers->send(witness, std::move(out));
+  links.peers->send(others[id % others.size()], std::move(out));
   auto self = std::weak_ptr(shared_from_this());
-  links.loop->after(witness_wait, [self, id] {
+  links.loop->after(witness_wait, [self, id, line] {
     auto to = self.lock();
     if (!to) return;
-    if (auto node = to->witnessed.extract(id)) node.mapped()();
+    auto node = to->witnessed.extract(id);
+    if (!node.empty()) to->ask_witness(line, std::move(node.mapped()));
   });
 }
 
@@ -393,7 +392,10 @@
 void pool_host::member_dead(const std::string& name) {
   for (auto& [model, it] : state_->pools) {
     std::erase_if(it.contexts, [&](const auto& entry) {
-      return entry.second.origin == name;
+      const auto& [id, known] = entry;
+      if (known.origin != name) return false;
+      state_->links.record_lost(id, known.caller);
+      return true;
     });
     it.origins.erase(name);
     state_->apply(model, origin_gone_event{name});
--- a/support/demo.sh
+++ b/support/demo.sh
@@ -20,3 +20,7 @@
   tail -n 30 "$logs"/*.log >&2
   exit 1
 }
+
+echo "demo: auditing the order of service"
+sleep 6
+"$build/fulmar-audit" --platform=http://127.0.0.1:18090
--- a/support/kill-trial.sh
+++ b/support/kill-trial.sh
@@ -33,3 +33,10 @@
   tail -n 40 "$logs"/*.log >&2
   exit 1
 }
+
+sleep 6
+echo "kill-$victim: auditing the order of service"
+"$build/fulmar-audit" --platform=http://127.0.0.1:18090 || {
+  tail -n 40 "$logs"/*.log >&2
+  exit 1
+}
