Count every form of allocation in the upload's memory test

Under the address sanitizer an allocation of the form that does not throw came from the sanitizer and was released by the test, which ended the test. The test now defines all forms that the program uses; its bound is unchanged.

--- a/test/upload-memory-test.cc
+++ b/test/upload-memory-test.cc
@@ -31,6 +31,22 @@
 void* operator new(std::size_t size) {
   return count_allocation(size);
 }
+void* operator new(std::size_t size, const std::nothrow_t& /*tag*/) noexcept {
+  try {
+    return count_allocation(size);
+  } catch (const std::bad_alloc&) {
+    return nullptr;
+  }
+}
+void* operator new[](std::size_t size) {
+  return count_allocation(size);
+}
+void operator delete[](void* at) noexcept {
+  count_release(at);
+}
+void operator delete[](void* at, std::size_t /*size*/) noexcept {
+  count_release(at);
+}
 void operator delete(void* at) noexcept {
   count_release(at);
 }
