--- a/include/fulmarpitch/config/operator-api.h
+++ b/include/fulmarpitch/config/operator-api.h
@@ -33,7 +33,8 @@
 bool is_operator_path(std::string_view target);
 
 /// Answers `POST /operator/v1/tickets`, `GET /operator/v1/tickets[/N]`,
-/// `GET /operator/v1/state` and `GET /operator/v1/configuration`.
+/// `GET /operator/v1/state` and `GET /operator/v1/configuration`, which gives
+/// the snapshot in force, or with `?newest=1` the newest in the stores.
 /// \param api what to read and change.
 /// \param request the request, with `Authorization: Bearer KEY`.
 /// \param now wall-clock time, kept in the ticket's row.
--- a/src/config/operator-api.cc
+++ b/src/config/operator-api.cc
@@ -226,6 +226,19 @@
                     {"vms", std::move(vms)}})));
 }
 
+/// The newest version may not be in force on this VM yet.
+void get_newest(const operator_api& api, const answer_callback& done) {
+  read_head(api.stores, [stores = api.stores,
+                         done](const absl::StatusOr<config_head>& head) {
+    if (!head.ok()) return done(error_response(head.status()));
+    read_snapshot(stores, *head,
+                  [done](const absl::StatusOr<config_snapshot>& it) {
+                    if (!it.ok()) return done(error_response(it.status()));
+                    done(json_response(status_ok, to_json(*it)));
+                  });
+  });
+}
+
 void get_configuration(const operator_api& api, const answer_callback& done) {
   auto bytes = api.snapshot();
   if (bytes.empty()) bytes = to_json(config_snapshot());
@@ -240,6 +253,9 @@
     return get_ticket(api, path.substr(one_ticket.size()), done);
   }
   if (path == "state") return get_state(api, done);
+  if (path == "configuration" && !query_parameter(target, "newest").empty()) {
+    return get_newest(api, done);
+  }
   if (path == "configuration") return get_configuration(api, done);
   done(error_response(make_error(error_code::not_found, "no such path")));
 }
--- a/src/control/declaration-commands.cc
+++ b/src/control/declaration-commands.cc
@@ -45,11 +45,8 @@
   return *std::move(snapshot);
 }
 
-absl::StatusOr<http_response> ask_configuration(
-    const control_session& session) {
-  return call_daemon(session, control_port::operators,
-                     {.target = "/operator/v1/configuration"});
-}
+constexpr auto in_force_path = "/operator/v1/configuration";
+constexpr auto newest_path = "/operator/v1/configuration?newest=1";
 
 absl::StatusOr<config_snapshot> snapshot_in(
     const absl::StatusOr<http_response>& answer) {
@@ -57,10 +54,12 @@
   return parse_config_snapshot(answer->body);
 }
 
-/// Reads the snapshot in force, or prints why it cannot be had.
-std::optional<config_snapshot> load_in_force(const control_session& session,
+/// Reads a snapshot, or prints why it cannot be had.
+std::optional<config_snapshot> load_snapshot(const control_session& session,
+                                             const char* path,
                                              exit_status& result) {
-  const auto answer = ask_configuration(session);
+  const auto answer =
+      call_daemon(session, control_port::operators, {.target = path});
   result = exit_for(answer);
   if (result != exit_status::ok) {
     report_failure(session, answer);
@@ -160,7 +159,7 @@
   const auto parsed = load_declarations(folder);
   if (!parsed.ok()) return report_faults(session, parsed.faults);
   auto result = exit_status::ok;
-  const auto in_force = load_in_force(session, result);
+  const auto in_force = load_snapshot(session, in_force_path, result);
   if (!in_force) return result;
   const auto changes = difference(*in_force, objects_of(parsed.value));
   if (session.wants_json()) {
@@ -185,7 +184,7 @@
   auto result = exit_status::ok;
   auto base = read_base(folder);
   const auto has_base = base.has_value();
-  if (!has_base) base = load_in_force(session, result);
+  if (!has_base) base = load_snapshot(session, newest_path, result);
   if (!base) return result;
   auto value = ticket{number, session.values.text("--author"),
                       difference(*base, objects_of(parsed.value))};
@@ -211,7 +210,7 @@
 exit_status export_folder(control_session& session) {
   const auto folder = session.values.text("<dir>");
   auto result = exit_status::ok;
-  const auto in_force = load_in_force(session, result);
+  const auto in_force = load_snapshot(session, in_force_path, result);
   if (!in_force) return result;
   const auto parsed = configuration_of(*in_force);
   if (!parsed.ok()) return report_faults(session, parsed.faults);
@@ -242,12 +241,12 @@
   const auto number = ticket_number(session);
   if (!session.values.errors().empty()) return exit_status::usage;
   auto result = exit_status::ok;
-  const auto in_force = load_in_force(session, result);
-  if (!in_force) return result;
+  const auto newest = load_snapshot(session, newest_path, result);
+  if (!newest) return result;
   const auto key =
       object_key{object_kind::target, session.values.text("<target>")};
-  const auto found = in_force->objects.find(key);
-  if (found == in_force->objects.end() || !found->second.body) {
+  const auto found = newest->objects.find(key);
+  if (found == newest->objects.end() || !found->second.body) {
     session.links.warn(concat("no target is named ", key.name, "\n"));
     return exit_status::not_found;
   }
--- a/test/control-test.cc
+++ b/test/control-test.cc
@@ -24,6 +24,8 @@
   std::string out;
   std::string err;
   std::uint32_t lost_replies = 0;
+  /// Whether each command's change comes into force before the next.
+  bool settles = true;
   std::vector<http_request> to_callers;
   std::vector<http_response> from_callers;
   fs::path folder;
@@ -93,7 +95,7 @@
             .warn = [this](auto it) { err += it; },
             .is_terminal = true,
         });
-    settle();
+    if (settles) settle();
     return result;
   }
 };
@@ -197,7 +199,14 @@
   CHECK_THAT(it.out, Catch::Matchers::Contains("127.0.0.1:9"));
   CHECK(it.run({"target", "drain", "x", "--ticket", "3"}) ==
         exit_status::not_found);
+  // Before the VM has the first change in force.
+  it.settles = false;
   CHECK(it.run({"target", "undrain", "t", "--ticket", "3"}) == exit_status::ok);
+  CHECK(it.run({"target", "drain", "t", "--ticket", "4"}) == exit_status::ok);
+  CHECK_THAT(it.out, Catch::Matchers::Contains("version 4"));
+  CHECK(it.run({"target", "undrain", "t", "--ticket", "5"}) == exit_status::ok);
+  CHECK_THAT(it.out, Catch::Matchers::Contains("version 5"));
+  it.settle();
   CHECK_FALSE(targets_for(*it.watcher.in_force()).at(0).leaving);
 }
 
