--- a/src/config/tickets.cc
+++ b/src/config/tickets.cc
@@ -189,8 +189,8 @@
 
   void load_snapshot(const config_head& head) {
     call<config_snapshot>(
-        [me = shared_from_this(), head](callback<config_snapshot> done) {
-          read_snapshot(me->stores_, head, std::move(done));
+        [me = shared_from_this(), head](const callback<config_snapshot>& done) {
+          read_snapshot(me->stores_, head, done);
         },
         [me = shared_from_this()](config_snapshot snapshot) {
           me->weigh(std::move(snapshot));
