Follow a keyed request to its one result; let an old sequencer surrender

Reading the path showed more: a takeover on any store error, two takeovers of one id, not_run after a takeover, an immediate 'unknown' recorded for requests that another daemon could still run, and refusals of a sealed epoch carried out without their record. Change: a daemon that meets a held key asks the holder, which then never starts the request unless it runs it; only then are the stores read; a takeover is claimed under the id and the lost holder; not_run turns unknown after a takeover; a lost entry's requests are recorded as unknown after their deadline. A sequencer whose epoch a successor closes stops and gives its records, so that a member lost at the same moment leaves no hole.

--- a/include/fulmarpitch/daemon/caller-api.h
+++ b/include/fulmarpitch/daemon/caller-api.h
@@ -15,6 +15,8 @@
 
 namespace fulmar {
 
+struct held_answer;
+
 /// What the callers' interface asks of the daemon around it.
 struct caller_api_links {
   event_loop* loop = nullptr;
@@ -29,6 +31,11 @@
   /// Finds a result anywhere in the data centre or in the stores.
   std::function<void(const std::string& request_id, callback<result_record>)>
       find_result;
+  /// Asks a daemon what it holds of a request; unless it holds the request, it
+  /// never starts it from then on.
+  std::function<void(const std::string& daemon, const std::string& request_id,
+                     callback<held_answer>)>
+      ask_holder;
   /// Whether a daemon of this data centre is alive.
   std::function<bool(const std::string& name)> is_alive;
   /// Whether the daemon takes new work.
--- a/include/fulmarpitch/daemon/entry.h
+++ b/include/fulmarpitch/daemon/entry.h
@@ -27,6 +27,8 @@
   std::optional<completion_request> completion;
   /// What goes to the target.
   http_request request;
+  /// Another daemon held the request before: it may have run there.
+  bool may_have_run = false;
   /// Whether the result goes to the recorder; batch items go with their chunk.
   bool records_result = true;
   /// Receives each event as it comes.
@@ -66,7 +68,8 @@
 
   /// Accepts a request.
   /// \return `overloaded` with outcome `not_run` when there is no room to keep
-  ///   its result; `on_end` does not run then.
+  ///   its result, `conflict` when the request was renounced; `on_end` does not
+  ///   run then.
   absl::Status start(entry_job job);
 
   /// Cancels a request.
@@ -74,6 +77,8 @@
   bool cancel(const std::string& request_id);
 
   bool holds(const std::string& request_id) const;
+  /// Makes sure that a request which is not held here is never started here.
+  void renounce(const std::string& request_id);
   /// Finds a result that is not recorded yet.
   const result_record* find_unrecorded(const std::string& request_id) const;
 
--- a/include/fulmarpitch/daemon/pool-host.h
+++ b/include/fulmarpitch/daemon/pool-host.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,8 +32,10 @@
   std::function<std::vector<std::string>()> members;
   /// Every member that was seen, also those that were lost since.
   std::function<std::vector<member_sighting>()> sightings;
-  /// Records the outcome of a request whose entry was lost.
-  std::function<void(const std::string& request_id, const std::string& caller)>
+  /// Records the outcome of a request whose entry was lost, unless another
+  /// entry takes it over before its deadline.
+  std::function<void(const std::string& request_id, const std::string& caller,
+                     instant deadline)>
       record_lost;
   /// What the configuration in force says of a pool.
   std::function<pool_policy(const std::string& pool)> policy;
@@ -76,6 +79,14 @@
   /// A daemon was lost for good with the requests it held.
   void member_dead(const std::string& name);
 
+  /// Stops the sequencer of an epoch that a successor is about to close.
+  /// \param pool the pool's name across data centres.
+  /// \param epoch the epoch.
+  /// \return every record that is not in the object store, or nothing when this
+  ///   daemon does not run the epoch.
+  std::optional<std::vector<std::string>> surrender(const std::string& pool,
+                                                    const epoch_id& epoch);
+
   /// Runs every sequencer and log.
   void tick();
 
--- a/include/fulmarpitch/net/peer.h
+++ b/include/fulmarpitch/net/peer.h
@@ -61,11 +61,11 @@
   void send(const std::string& peer, Message message) {
     auto out = wire::envelopeT();
     out.body.Set(std::move(message));
-    send_envelope(peer, std::move(out));
+    send_envelope(peer, out);
   }
 
  private:
-  void send_envelope(const std::string& peer, wire::envelopeT message);
+  void send_envelope(const std::string& peer, const wire::envelopeT& message);
 
   std::shared_ptr<impl> impl_;
 };
--- a/include/fulmarpitch/net/peer_generated.h
+++ b/include/fulmarpitch/net/peer_generated.h
@@ -2699,6 +2699,7 @@
   typedef find_pending TableType;
   uint64_t id = 0;
   std::string request_id{};
+  bool renounce = false;
 };
 
 struct find_pending FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2706,7 +2707,8 @@
   typedef find_pendingBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ID = 4,
-    VT_REQUEST_ID = 6
+    VT_REQUEST_ID = 6,
+    VT_RENOUNCE = 8
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -2714,11 +2716,15 @@
   const flatbuffers::String *request_id() const {
     return GetPointer<const flatbuffers::String *>(VT_REQUEST_ID);
   }
+  bool renounce() const {
+    return GetField<uint8_t>(VT_RENOUNCE, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
            VerifyOffset(verifier, VT_REQUEST_ID) &&
            verifier.VerifyString(request_id()) &&
+           VerifyField<uint8_t>(verifier, VT_RENOUNCE, 1) &&
            verifier.EndTable();
   }
   find_pendingT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2736,6 +2742,9 @@
   void add_request_id(flatbuffers::Offset<flatbuffers::String> request_id) {
     fbb_.AddOffset(find_pending::VT_REQUEST_ID, request_id);
   }
+  void add_renounce(bool renounce) {
+    fbb_.AddElement<uint8_t>(find_pending::VT_RENOUNCE, static_cast<uint8_t>(renounce), 0);
+  }
   explicit find_pendingBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2750,22 +2759,26 @@
 inline flatbuffers::Offset<find_pending> Createfind_pending(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t id = 0,
-    flatbuffers::Offset<flatbuffers::String> request_id = 0) {
+    flatbuffers::Offset<flatbuffers::String> request_id = 0,
+    bool renounce = false) {
   find_pendingBuilder builder_(_fbb);
   builder_.add_id(id);
   builder_.add_request_id(request_id);
+  builder_.add_renounce(renounce);
   return builder_.Finish();
 }
 
 inline flatbuffers::Offset<find_pending> Createfind_pendingDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t id = 0,
-    const char *request_id = nullptr) {
+    const char *request_id = nullptr,
+    bool renounce = false) {
   auto request_id__ = request_id ? _fbb.CreateString(request_id) : 0;
   return fulmar::wire::Createfind_pending(
       _fbb,
       id,
-      request_id__);
+      request_id__,
+      renounce);
 }
 
 flatbuffers::Offset<find_pending> Createfind_pending(flatbuffers::FlatBufferBuilder &_fbb, const find_pendingT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2773,6 +2786,7 @@
 struct found_pendingT : public flatbuffers::NativeTable {
   typedef found_pending TableType;
   uint64_t id = 0;
+  bool running = false;
   bool found = false;
   std::vector<uint8_t> body{};
 };
@@ -2782,12 +2796,16 @@
   typedef found_pendingBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ID = 4,
-    VT_FOUND = 6,
-    VT_BODY = 8
+    VT_RUNNING = 6,
+    VT_FOUND = 8,
+    VT_BODY = 10
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
   }
+  bool running() const {
+    return GetField<uint8_t>(VT_RUNNING, 0) != 0;
+  }
   bool found() const {
     return GetField<uint8_t>(VT_FOUND, 0) != 0;
   }
@@ -2797,6 +2815,7 @@
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
+           VerifyField<uint8_t>(verifier, VT_RUNNING, 1) &&
            VerifyField<uint8_t>(verifier, VT_FOUND, 1) &&
            VerifyOffset(verifier, VT_BODY) &&
            verifier.VerifyVector(body()) &&
@@ -2814,6 +2833,9 @@
   void add_id(uint64_t id) {
     fbb_.AddElement<uint64_t>(found_pending::VT_ID, id, 0);
   }
+  void add_running(bool running) {
+    fbb_.AddElement<uint8_t>(found_pending::VT_RUNNING, static_cast<uint8_t>(running), 0);
+  }
   void add_found(bool found) {
     fbb_.AddElement<uint8_t>(found_pending::VT_FOUND, static_cast<uint8_t>(found), 0);
   }
@@ -2834,24 +2856,28 @@
 inline flatbuffers::Offset<found_pending> Createfound_pending(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t id = 0,
+    bool running = false,
     bool found = false,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body = 0) {
   found_pendingBuilder builder_(_fbb);
   builder_.add_id(id);
   builder_.add_body(body);
   builder_.add_found(found);
+  builder_.add_running(running);
   return builder_.Finish();
 }
 
 inline flatbuffers::Offset<found_pending> Createfound_pendingDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t id = 0,
+    bool running = false,
     bool found = false,
     const std::vector<uint8_t> *body = nullptr) {
   auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
   return fulmar::wire::Createfound_pending(
       _fbb,
       id,
+      running,
       found,
       body__);
 }
@@ -3102,6 +3128,7 @@
 struct recordsT : public flatbuffers::NativeTable {
   typedef records TableType;
   uint64_t id = 0;
+  bool complete = false;
   std::vector<std::string> lines{};
 };
 
@@ -3110,17 +3137,22 @@
   typedef recordsBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ID = 4,
-    VT_LINES = 6
+    VT_COMPLETE = 6,
+    VT_LINES = 8
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
   }
+  bool complete() const {
+    return GetField<uint8_t>(VT_COMPLETE, 0) != 0;
+  }
   const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *lines() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_LINES);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
+           VerifyField<uint8_t>(verifier, VT_COMPLETE, 1) &&
            VerifyOffset(verifier, VT_LINES) &&
            verifier.VerifyVector(lines()) &&
            verifier.VerifyVectorOfStrings(lines()) &&
@@ -3138,6 +3170,9 @@
   void add_id(uint64_t id) {
     fbb_.AddElement<uint64_t>(records::VT_ID, id, 0);
   }
+  void add_complete(bool complete) {
+    fbb_.AddElement<uint8_t>(records::VT_COMPLETE, static_cast<uint8_t>(complete), 0);
+  }
   void add_lines(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> lines) {
     fbb_.AddOffset(records::VT_LINES, lines);
   }
@@ -3155,21 +3190,25 @@
 inline flatbuffers::Offset<records> Createrecords(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t id = 0,
+    bool complete = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> lines = 0) {
   recordsBuilder builder_(_fbb);
   builder_.add_id(id);
   builder_.add_lines(lines);
+  builder_.add_complete(complete);
   return builder_.Finish();
 }
 
 inline flatbuffers::Offset<records> CreaterecordsDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t id = 0,
+    bool complete = false,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *lines = nullptr) {
   auto lines__ = lines ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*lines) : 0;
   return fulmar::wire::Createrecords(
       _fbb,
       id,
+      complete,
       lines__);
 }
 
@@ -4738,6 +4777,7 @@
   (void)_resolver;
   { auto _e = id(); _o->id = _e; }
   { auto _e = request_id(); if (_e) _o->request_id = _e->str(); }
+  { auto _e = renounce(); _o->renounce = _e; }
 }
 
 inline flatbuffers::Offset<find_pending> find_pending::Pack(flatbuffers::FlatBufferBuilder &_fbb, const find_pendingT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4750,10 +4790,12 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const find_pendingT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _id = _o->id;
   auto _request_id = _o->request_id.empty() ? 0 : _fbb.CreateString(_o->request_id);
+  auto _renounce = _o->renounce;
   return fulmar::wire::Createfind_pending(
       _fbb,
       _id,
-      _request_id);
+      _request_id,
+      _renounce);
 }
 
 inline found_pendingT *found_pending::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -4766,6 +4808,7 @@
   (void)_o;
   (void)_resolver;
   { auto _e = id(); _o->id = _e; }
+  { auto _e = running(); _o->running = _e; }
   { auto _e = found(); _o->found = _e; }
   { auto _e = body(); if (_e) { _o->body.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->body.begin()); } }
 }
@@ -4779,11 +4822,13 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const found_pendingT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _id = _o->id;
+  auto _running = _o->running;
   auto _found = _o->found;
   auto _body = _o->body.size() ? _fbb.CreateVector(_o->body) : 0;
   return fulmar::wire::Createfound_pending(
       _fbb,
       _id,
+      _running,
       _found,
       _body);
 }
@@ -4891,6 +4936,7 @@
   (void)_o;
   (void)_resolver;
   { auto _e = id(); _o->id = _e; }
+  { auto _e = complete(); _o->complete = _e; }
   { auto _e = lines(); if (_e) { _o->lines.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->lines[_i] = _e->Get(_i)->str(); } } }
 }
 
@@ -4903,10 +4949,12 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const recordsT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _id = _o->id;
+  auto _complete = _o->complete;
   auto _lines = _o->lines.size() ? _fbb.CreateVectorOfStrings(_o->lines) : 0;
   return fulmar::wire::Createrecords(
       _fbb,
       _id,
+      _complete,
       _lines);
 }
 
--- a/programs/fulmar-load.cc
+++ b/programs/fulmar-load.cc
@@ -97,6 +97,10 @@
   const tally& counts() const { return counts_; }
 
  private:
+  bool is_late() const {
+    return fulmar::event_loop::steady() - started_ >= options_.wait;
+  }
+
   const std::string& caller(std::size_t index) const {
     return options_.callers[index % options_.callers.size()];
   }
@@ -120,11 +124,11 @@
   void send_next(std::int64_t index) {
     if (index == options_.requests) return;
     ++open_;
-    send(index, static_cast<std::size_t>(index), fulmar::instant{});
+    send(index, static_cast<std::size_t>(index));
     loop_.after(options_.pause, [this, index] { send_next(index + 1); });
   }
 
-  void send(std::int64_t index, std::size_t through, fulmar::instant waited) {
+  void send(std::int64_t index, std::size_t through) {
     auto body = json::object{{"model", options_.model},
                              {"prompt", fulmar::concat("request ", index)},
                              {"max_tokens", options_.max_tokens}};
@@ -139,20 +143,18 @@
       request.headers.push_back({"Fulmar-Repeat", "never"});
     }
     call(caller(through), options_.key, std::move(request),
-         [this, index, through, waited](answer_ptr answer) {
-           take_online(index, through, waited, answer);
+         [this, index, through](answer_ptr answer) {
+           take_online(index, through, answer);
          });
   }
 
-  void take_online(std::int64_t index, std::size_t through,
-                   fulmar::instant waited, answer_ptr answer) {
+  void take_online(std::int64_t index, std::size_t through, answer_ptr answer) {
     auto not_run = answer.ok() && answer->status >= 429 &&
                    answer->body.find("\"not_run\"") != std::string::npos;
-    if ((!answer.ok() || not_run) && waited < options_.wait) {
+    if ((!answer.ok() || not_run) && !is_late()) {
       ++counts_.resent;
-      loop_.after(look_again, [this, index, through, waited] {
-        send(index, through + 1, waited + look_again);
-      });
+      loop_.after(look_again,
+                  [this, index, through] { send(index, through + 1); });
       return;
     }
     auto unknown = answer.ok() && is_no_repeat(index) &&
@@ -174,28 +176,26 @@
     auto id =
         std::string(fulmar::find_header(answer->headers, "fulmar-request-id"));
     if (is_no_repeat(index)) once_.insert(id);
-    read_back(through + 1, id, fulmar::instant{});
+    read_back(through + 1, id);
   }
 
-  void read_back(std::size_t through, const std::string& id,
-                 fulmar::instant waited) {
+  void read_back(std::size_t through, const std::string& id) {
     call(caller(through), options_.key,
          {.target = fulmar::concat("/v1/requests/", id)},
-         [this, through, id, waited](answer_ptr answer) {
+         [this, through, id](answer_ptr answer) {
            if (answer.ok() && answer->status == 200) {
              ++counts_.results;
              finish_one();
              return;
            }
-           if (waited >= options_.wait) {
+           if (is_late()) {
              LOG(WARNING) << "no result of " << id;
              ++counts_.missing;
              finish_one();
              return;
            }
-           loop_.after(look_again, [this, through, id, waited] {
-             read_back(through + 1, id, waited + look_again);
-           });
+           loop_.after(look_again,
+                       [this, through, id] { read_back(through + 1, id); });
          });
   }
 
@@ -236,24 +236,22 @@
          [this](answer_ptr answer) {
            if (!is_good("the job", answer)) return;
            counts_.accepted += static_cast<std::size_t>(options_.items);
-           watch_job(text_in(answer->body, "id"), fulmar::instant{});
+           watch_job(text_in(answer->body, "id"));
          });
   }
 
-  void watch_job(const std::string& id, fulmar::instant waited) {
+  void watch_job(const std::string& id) {
     call(caller(next_++), options_.batch_key,
          {.target = fulmar::concat("/v1/batches/", id)},
-         [this, id, waited](answer_ptr answer) {
+         [this, id](answer_ptr answer) {
            auto status = answer.ok() && answer->status == 200
                              ? text_in(answer->body, "status")
                              : std::string();
-           if (status == "completed" || waited >= options_.wait) {
+           if (status == "completed" || is_late()) {
              read_results(id, "-output");
              return;
            }
-           loop_.after(look_again, [this, id, waited] {
-             watch_job(id, waited + look_again);
-           });
+           loop_.after(look_again, [this, id] { watch_job(id); });
          });
   }
 
@@ -345,6 +343,7 @@
   std::set<std::string> once_;
   std::string run_name_ =
       fulmar::concat("load-", fulmar::event_loop::now().count());
+  fulmar::instant started_ = fulmar::event_loop::steady();
   std::size_t next_ = 1;
   std::size_t reads_failed_ = 0;
   std::size_t open_ = 0;
--- a/src/daemon/batch-runner.cc
+++ b/src/daemon/batch-runner.cc
@@ -309,7 +309,7 @@
   for (auto& item : it.items)
     results.push_back(std::move(*item.result));
   it.finished = true;
-  it.holder.finish(std::move(results));
+  it.holder.finish(results);
 }
 
 void batch_runner::state::drop(running_chunk& it) {
--- a/src/daemon/caller-api.cc
+++ b/src/daemon/caller-api.cc
@@ -9,6 +9,7 @@
 #include "fulmarpitch/core/rendezvous.h"
 #include "fulmarpitch/core/text.h"
 #include "fulmarpitch/net/url.h"
+#include "peer-calls.h"
 #include "wire.h"
 
 namespace json = boost::json;
@@ -34,6 +35,12 @@
 
 using arrival_ptr = std::shared_ptr<arrival>;
 
+/// An earlier request with the same key, and the daemon that holds it.
+struct followed {
+  std::string id;
+  std::string holder;
+};
+
 std::string claim_subject(const arrival& it) {
   return concat(it.job.item.caller, "/", it.key);
 }
@@ -124,9 +131,10 @@
                       const absl::StatusOr<claim_outcome>& got);
   void claim_started(const arrival_ptr& it);
   void start(const arrival_ptr& it);
-  void wait_for_result(const arrival_ptr& it, const std::string& id,
-                       const std::string& origin);
-  void take_over(const arrival_ptr& it, const std::string& id);
+  void follow(const arrival_ptr& it, const followed& of);
+  void follow_later(const arrival_ptr& it, const followed& of);
+  void look_in_stores(const arrival_ptr& it, const followed& of);
+  void take_over(const arrival_ptr& it, const followed& of);
 
   caller_api_links links;
   batch_api batches;
@@ -343,7 +351,7 @@
            "the idempotency key stands for another request");
     return;
   }
-  wait_for_result(it, got->claimant, std::string(origin_in(got->value)));
+  follow(it, {got->claimant, std::string(origin_in(got->value))});
 }
 
 void caller_api::state::claim_started(const arrival_ptr& it) {
@@ -367,46 +375,85 @@
               });
 }
 
-void caller_api::state::wait_for_result(const arrival_ptr& it,
-                                        const std::string& id,
-                                        const std::string& origin) {
-  auto self = shared_from_this();
-  links.find_result(id, [self, it, id, origin](const auto& got) {
+void caller_api::state::follow(const arrival_ptr& it, const followed& of) {
+  if (!links.is_alive(of.holder)) {
+    look_in_stores(it, of);
+    return;
+  }
+  links.ask_holder(of.holder, of.id,
+                   [self = shared_from_this(), it,
+                    of](const absl::StatusOr<held_answer>& got) {
+                     if (got.ok() && got->result) {
+                       answer_result(it->exchange, *got->result, false, {});
+                     } else if (got.ok() && !got->running) {
+                       self->look_in_stores(it, of);
+                     } else {
+                       self->follow_later(it, of);
+                     }
+                   });
+}
+
+void caller_api::state::follow_later(const arrival_ptr& it,
+                                     const followed& of) {
+  if (event_loop::now() > it->job.item.deadline) {
+    refuse(it->exchange, error_code::deadline_exceeded, outcome::unknown,
+           "an earlier request with this key has no result yet",
+           std::chrono::seconds(1));
+    return;
+  }
+  links.loop->after(look_again, [self = shared_from_this(), it, of] {
+    self->follow(it, of);
+  });
+}
+
+void caller_api::state::look_in_stores(const arrival_ptr& it,
+                                       const followed& of) {
+  links.find_result(of.id, [self = shared_from_this(), it,
+                            of](const absl::StatusOr<result_record>& got) {
     if (got.ok()) {
       answer_result(it->exchange, *got, true, {});
-      return;
-    }
-    if (!self->links.is_alive(origin)) {
-      self->take_over(it, id);
-      return;
+    } else if (code_of(got.status()) == error_code::not_found) {
+      self->take_over(it, of);
+    } else if (code_of(got.status()) == error_code::outcome_unknown) {
+      refuse(it->exchange, got.status());
+    } else {
+      self->follow_later(it, of);
     }
-    if (event_loop::now() > it->job.item.deadline) {
-      refuse(it->exchange, error_code::deadline_exceeded, outcome::unknown,
-             "an earlier request with this key has no result yet",
-             std::chrono::seconds(1));
-      return;
-    }
-    self->links.loop->after(look_again, [self, it, id, origin] {
-      self->wait_for_result(it, id, origin);
-    });
   });
 }
 
-void caller_api::state::take_over(const arrival_ptr& it,
-                                  const std::string& id) {
-  if (it->job.item.no_repeat) {
+void caller_api::state::take_over(const arrival_ptr& it, const followed& of) {
+  auto renounced = links.is_alive(of.holder);
+  if (it->job.item.no_repeat && !renounced) {
     refuse(it->exchange, error_code::outcome_unknown, outcome::unknown,
            failure_message(error_code::outcome_unknown));
     return;
   }
-  it->job.item.id = id;
-  it->job.request.headers = {{"Content-Type", json_type},
-                             {"Fulmar-Request-Id", id}};
-  if (links.requests->holds(id)) {
-    wait_for_result(it, id, links.self);
-    return;
-  }
-  start(it);
+  auto take = [self = shared_from_this(), it, of,
+               renounced](const absl::StatusOr<claim_outcome>& got) {
+    if (!got.ok()) {
+      self->follow_later(it, of);
+      return;
+    }
+    if (!got->granted) {
+      self->follow_later(it, {of.id, got->claimant});
+      return;
+    }
+    it->job.item.id = of.id;
+    it->job.may_have_run = !renounced;
+    it->job.request.headers = {{"Content-Type", json_type},
+                               {"Fulmar-Request-Id", of.id}};
+    if (self->links.requests->holds(of.id)) {
+      self->follow_later(it, {of.id, self->links.self});
+      return;
+    }
+    self->start(it);
+  };
+  links.claim({.kind = claim_kind::key,
+               .subject = concat(of.id, "#", of.holder),
+               .claimant = links.self,
+               .value = links.self},
+              std::move(take));
 }
 
 void caller_api::state::start(const arrival_ptr& it) {
--- a/src/daemon/completion.cc
+++ b/src/daemon/completion.cc
@@ -4,6 +4,7 @@
 
 #include "fulmarpitch/core/errors.h"
 #include "fulmarpitch/core/rendezvous.h"
+#include "fulmarpitch/core/routing.h"
 #include "fulmarpitch/core/text.h"
 
 namespace json = boost::json;
@@ -14,7 +15,7 @@
 /// Average length of a token in English text.
 constexpr std::size_t bytes_per_token = 4;
 /// Bytes of prompt that one prefix block covers.
-constexpr std::size_t block_bytes = 64;
+constexpr std::size_t block_bytes = bytes_per_token * prefix_block_tokens;
 constexpr std::size_t most_blocks = 64;
 
 absl::Status bad_field(std::string_view field, std::string_view allowed) {
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -31,6 +31,7 @@
 constexpr auto shutdown_look = std::chrono::milliseconds(50);
 /// Sightings older than any record that is not in the stores are dropped.
 constexpr auto sighting_retention = std::chrono::hours(2);
+constexpr auto takeover_margin = std::chrono::seconds(10);
 constexpr std::string_view recorder_role = "recorder";
 
 std::string address_of(const std::string& host, std::uint16_t port) {
@@ -50,7 +51,7 @@
 
   void build();
   absl::Status start();
-  void take(const std::string& from, wire::envelopeT message);
+  void take(const std::string& from, const wire::envelopeT& message);
   bool take_for_member(const std::string& from, const wire::bodyUnion& body);
   void take_result(const std::string& from, const wire::record_resultT& it);
   void take_claim(const std::string& from, const wire::claimT& it);
@@ -64,13 +65,15 @@
   std::vector<std::string> live_members() const;
   std::vector<member_sighting> all_sightings() const;
   void record_lost(const std::string& id, const std::string& caller);
+  void record_lost_after(const std::string& id, const std::string& caller,
+                         instant deadline);
   std::vector<target_info> targets_of(const std::string& pool) const;
   void find_result(const std::string& id, callback<result_record> done);
-  void find_lost(const std::string& id, callback<result_record> done);
+  void find_lost(const std::string& id, const callback<result_record>& done);
   bool is_ready() const;
   bool is_drained() const;
   void log_leftovers() const;
-  void drain(instant give_up_at, std::function<void(bool)> done);
+  void drain(instant give_up_at, const std::function<void(bool)>& done);
   void tick_fast();
   void tick_slow();
   void serve_operator(const std::shared_ptr<http_exchange>& it);
@@ -112,8 +115,8 @@
                    .host = options.host,
                    .port = options.peer_port,
                    .secret = options.secret},
-      [weak](const auto& from, auto message) {
-        if (auto it = weak.lock()) it->take(from, std::move(message));
+      [weak](const auto& from, const auto& message) {
+        if (auto it = weak.lock()) it->take(from, message);
       },
       [weak](const auto& peer) {
         auto it = weak.lock();
@@ -144,8 +147,10 @@
       .owner_of = [this](const auto& pool) { return pool_owner(pool); },
       .members = [this] { return live_members(); },
       .sightings = [this] { return all_sightings(); },
-      .record_lost = [this](const auto& id,
-                            const auto& caller) { record_lost(id, caller); },
+      .record_lost =
+          [this](const auto& id, const auto& caller, instant deadline) {
+            record_lost_after(id, caller, deadline);
+          },
       .policy =
           [this](const auto& pool) {
             auto it = watcher->in_force();
@@ -182,6 +187,10 @@
           },
       .find_result = [this](const auto& id,
                             auto done) { find_result(id, std::move(done)); },
+      .ask_holder =
+          [this](const auto& holder, const auto& id, auto done) {
+            calls->find_pending(holder, id, true, std::move(done));
+          },
       .is_alive =
           [this](const auto& peer) {
             auto it = members->members().member(peer);
@@ -250,7 +259,7 @@
 }
 
 void entry_daemon::state::take(const std::string& from,
-                               wire::envelopeT message) {
+                               const wire::envelopeT& message) {
   if (ended) return;
   const auto& body = message.body;
   if (requests->take(from, body)) return;
@@ -274,10 +283,12 @@
     if (!requests->records().take(line).ok()) return true;
     auto out = wire::witness_ackT();
     out.id = witness->id;
-    peers->send(from, std::move(out));
+    peers->send(from, out);
   } else if (const auto* find = body.Asfind_pending()) {
     auto out = wire::found_pendingT();
     out.id = find->id;
+    if (find->renounce) requests->renounce(find->request_id);
+    out.running = requests->holds(find->request_id);
     const auto* found = results->find_pending(find->request_id);
     if (found == nullptr) found = requests->find_unrecorded(find->request_id);
     if (found != nullptr) {
@@ -305,7 +316,7 @@
     out.id = id;
     out.recorded = recorded;
     out.code = static_cast<std::uint8_t>(code);
-    peers->send(from, std::move(out));
+    peers->send(from, out);
   };
   auto parsed = parse_results(std::string(it.body.begin(), it.body.end()));
   if (!parsed.ok() || parsed->size() != 1) {
@@ -352,6 +363,10 @@
   out.id = it.id;
   requests->records().seal(it.pool, *epoch);
   out.lines = requests->records().lines(it.pool, *epoch);
+  if (auto pending = pools->surrender(it.pool, *epoch)) {
+    out.complete = true;
+    out.lines.insert(out.lines.end(), pending->begin(), pending->end());
+  }
   peers->send(from, std::move(out));
 }
 
@@ -402,6 +417,17 @@
   return out;
 }
 
+/// Another VM may take the request over until its deadline.
+void entry_daemon::state::record_lost_after(const std::string& id,
+                                            const std::string& caller,
+                                            instant deadline) {
+  auto wait = std::max(deadline - event_loop::now(), instant{});
+  auto weak = std::weak_ptr(shared_from_this());
+  loop.after(wait + takeover_margin, [weak, id, caller] {
+    if (auto it = weak.lock(); it && !it->ended) it->record_lost(id, caller);
+  });
+}
+
 void entry_daemon::state::record_lost(const std::string& id,
                                       const std::string& caller) {
   auto now = event_loop::now();
@@ -447,9 +473,10 @@
     done(*held);
     return;
   }
-  auto in_stores = [this, id, done = std::move(done)](const auto& pending) {
-    if (pending.ok()) {
-      done(*pending);
+  auto in_stores = [this, id, done = std::move(done)](
+                       const absl::StatusOr<held_answer>& pending) {
+    if (pending.ok() && pending->result) {
+      done(*pending->result);
       return;
     }
     auto look = [this, id, done](const absl::StatusOr<result_record>& got) {
@@ -461,11 +488,11 @@
     };
     fulmar::find_result(options.stores, id, look);
   };
-  calls->find_pending(recorder_owner(), id, std::move(in_stores));
+  calls->find_pending(recorder_owner(), id, false, std::move(in_stores));
 }
 
 void entry_daemon::state::find_lost(const std::string& id,
-                                    callback<result_record> done) {
+                                    const callback<result_record>& done) {
   auto claim =
       claim_record{.kind = claim_kind::started, .subject = id, .claimant = id};
   find_claim(options.stores, claim, [this, id, done](const auto& got) {
@@ -548,7 +575,7 @@
 }
 
 void entry_daemon::state::drain(instant give_up_at,
-                                std::function<void(bool)> done) {
+                                const std::function<void(bool)>& done) {
   auto late = event_loop::steady() > give_up_at;
   if (is_drained() || late) {
     pools->close();
--- a/src/daemon/entry.cc
+++ b/src/daemon/entry.cc
@@ -19,6 +19,8 @@
 constexpr auto deadline_grace = std::chrono::seconds(1);
 /// Longest wait for the recorder before a final event says `pending`.
 constexpr auto hold_wait = std::chrono::seconds(1);
+/// Longer than any claim can be on its way.
+constexpr auto renounced_retention = std::chrono::minutes(10);
 constexpr std::uint32_t progress_stride = 32;
 constexpr std::size_t answer_overhead_bytes = 1024;
 constexpr std::size_t bytes_per_token = 8;
@@ -65,7 +67,7 @@
   void take_event(const std::string& id, const completion_event& event,
                   const std::string& data);
   void take_attempt_end(const std::string& id, std::uint32_t number,
-                        attempt_result result);
+                        const attempt_result& result);
   void take_admit(const std::string& from, const wire::admitT& it);
   void take_refuse(const wire::refuseT& it);
   void take_stop(const std::string& from, const wire::stop_attemptT& it);
@@ -90,6 +92,8 @@
   std::uint64_t last_record_id = 0;
   entry_outbox outbox;
   held_records held;
+  /// Requests that must not start here, with the time they were given up.
+  std::map<std::string, instant> renounced;
   entry_counts counts;
 };
 
@@ -117,7 +121,7 @@
                 it.attempt > found->second.attempt_number;
   auto line = std::string(it.record.begin(), it.record.end());
   auto kept = held.take(line);
-  if (!usable || code_of(kept) == error_code::conflict) {
+  if (!usable || !kept.ok()) {
     report_finished(from, it.pool, it.request_id, it.attempt,
                     attempt_end::cancelled, nullptr);
     return;
@@ -156,9 +160,9 @@
              if (auto to = self.lock()) to->take_event(id, event, data);
            },
        .on_end =
-           [self, id, number](attempt_result result) {
+           [self, id, number](const attempt_result& result) {
              if (auto to = self.lock()) {
-               to->take_attempt_end(id, number, std::move(result));
+               to->take_attempt_end(id, number, result);
              }
            }});
 }
@@ -187,7 +191,7 @@
 }
 
 void entry::state::take_attempt_end(const std::string& id, std::uint32_t number,
-                                    attempt_result result) {
+                                    const attempt_result& result) {
   auto found = requests.find(id);
   if (found == requests.end() || found->second.attempt_number != number) {
     return;
@@ -232,14 +236,16 @@
 void entry::state::take_refuse(const wire::refuseT& it) {
   auto found = requests.find(it.request_id);
   if (found == requests.end() || found->second.running) return;
-  held.take(std::string(it.record.begin(), it.record.end())).IgnoreError();
+  auto line = std::string(it.record.begin(), it.record.end());
+  if (!held.take(line).ok()) return;
   fail(it.request_id, static_cast<error_code>(it.code),
        static_cast<outcome>(it.what), instant(it.retry_after));
 }
 
 void entry::state::take_stop(const std::string& from,
                              const wire::stop_attemptT& it) {
-  held.take(std::string(it.record.begin(), it.record.end())).IgnoreError();
+  auto line = std::string(it.record.begin(), it.record.end());
+  if (!held.take(line).ok()) return;
   auto reason = it.preempted ? attempt_end::preempted : attempt_end::cancelled;
   auto found = requests.find(it.request_id);
   if (found == requests.end() || !found->second.running ||
@@ -276,7 +282,11 @@
 void entry::state::fail(const std::string& id, error_code code, outcome what,
                         instant retry_after) {
   auto& it = requests.at(id);
-  if (it.attempts_started == 0) what = outcome::not_run;
+  if (it.attempts_started == 0) {
+    what = it.job.may_have_run ? outcome::unknown : outcome::not_run;
+  } else if (what == outcome::not_run) {
+    what = outcome::ran;
+  }
   ensure(what != outcome::not_run || it.attempts_started == 0,
          invariant::not_run_is_true, "an attempt had left the VM");
   auto record = base_record(it);
@@ -385,6 +395,10 @@
 entry::~entry() = default;
 
 absl::Status entry::start(entry_job job) {
+  if (state_->renounced.contains(job.item.id)) {
+    return make_error(error_code::conflict,
+                      "another daemon took the request over");
+  }
   auto reserved = std::size_t{0};
   if (job.records_result) {
     reserved = reserve_for(job);
@@ -425,6 +439,11 @@
   return state_->requests.contains(request_id);
 }
 
+void entry::renounce(const std::string& request_id) {
+  if (holds(request_id)) return;
+  state_->renounced[request_id] = event_loop::now();
+}
+
 const result_record* entry::find_unrecorded(
     const std::string& request_id) const {
   return state_->outbox.find(request_id);
@@ -489,6 +508,9 @@
   for (auto& [id, it] : state_->requests) {
     if (it.submit_at <= now) state_->submit(it);
   }
+  std::erase_if(state_->renounced, [now](const auto& it) {
+    return now - it.second > renounced_retention;
+  });
   state_->give_up_overdue(now);
   state_->send_results(now);
   state_->answer_unheld(now);
--- a/src/daemon/epoch-opening.cc
+++ b/src/daemon/epoch-opening.cc
@@ -89,7 +89,9 @@
 }
 
 void epoch_opening::take_records(const std::string& from,
-                                 const std::vector<std::string>& lines) {
+                                 const std::vector<std::string>& lines,
+                                 bool complete) {
+  surrendered_ = surrendered_ || (collecting_ && complete);
   if (!collecting_ || std::erase(waiting_for_, from) == 0) return;
   answered_.push_back(from);
   inputs_.collected.insert(inputs_.collected.end(), lines.begin(), lines.end());
@@ -141,8 +143,10 @@
   } else {
     sightings.push_back({old_owner_, event_loop::now()});
   }
-  inputs_.silent_members =
-      silent_members(inputs_.durable, sightings, answered_, clock_margin);
+  if (!surrendered_) {
+    inputs_.silent_members =
+        silent_members(inputs_.durable, sightings, answered_, clock_margin);
+  }
   auto end = close_epoch(inputs_, event_loop::now());
   if (!end.ok()) {
     LOG(ERROR) << "cannot close epoch " << to_text(old_epoch_) << " of pool "
@@ -203,6 +207,7 @@
     }
     self->last_segment_.clear();
     self->answered_.clear();
+    self->surrendered_ = false;
     self->start();
   });
 }
--- a/src/daemon/epoch-opening.h
+++ b/src/daemon/epoch-opening.h
@@ -40,7 +40,7 @@
   void start();
   /// Takes what a member held.
   void take_records(const std::string& from,
-                    const std::vector<std::string>& lines);
+                    const std::vector<std::string>& lines, bool complete);
 
  private:
   void take_row(const absl::StatusOr<epoch_row>& row);
@@ -65,7 +65,8 @@
   epoch_end end_;
   std::vector<std::string> waiting_for_;
   bool collecting_ = false;
-  bool collected_ = false;
+  /// The old owner stopped and gave every record that is not durable.
+  bool surrendered_ = false;
   bool finished_ = false;
 };
 
--- a/src/daemon/peer-calls.cc
+++ b/src/daemon/peer-calls.cc
@@ -41,22 +41,28 @@
 }
 
 void peer_calls::find_pending(const std::string& to,
-                              const std::string& request_id,
-                              callback<result_record> done) {
+                              const std::string& request_id, bool renounce,
+                              callback<held_answer> done) {
   auto out = wire::find_pendingT();
   out.request_id = request_id;
+  out.renounce = renounce;
   out.id = open(to, [done = std::move(done)](const wire::bodyUnion* body) {
     const auto* it = body == nullptr ? nullptr : body->Asfound_pending();
-    if (it == nullptr || !it->found) {
-      done(make_error(error_code::not_found, "the result is not pending"));
+    if (it == nullptr) {
+      done(no_answer());
       return;
     }
-    auto parsed = parse_results(std::string(it->body.begin(), it->body.end()));
-    if (!parsed.ok() || parsed->size() != 1) {
-      done(make_error(error_code::internal, "the peer's result is damaged"));
-      return;
+    auto answer = held_answer{.running = it->running};
+    if (it->found) {
+      auto bytes = std::string(it->body.begin(), it->body.end());
+      auto parsed = parse_results(bytes);
+      if (!parsed.ok() || parsed->size() != 1) {
+        done(make_error(error_code::internal, "the peer's result is damaged"));
+        return;
+      }
+      answer.result = std::move(parsed->front());
     }
-    done(std::move(parsed->front()));
+    done(std::move(answer));
   });
   peers_.send(to, std::move(out));
 }
@@ -72,7 +78,7 @@
     }
     done(it->body);
   });
-  peers_.send(to, std::move(out));
+  peers_.send(to, out);
 }
 
 bool peer_calls::take(const wire::bodyUnion& body) {
--- a/src/daemon/peer-calls.h
+++ b/src/daemon/peer-calls.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "fulmarpitch/net/peer.h"
@@ -10,6 +11,12 @@
 
 namespace fulmar {
 
+/// What a daemon holds of a request.
+struct held_answer {
+  bool running = false;
+  std::optional<result_record> result;
+};
+
 /// Questions to other daemons that are answered once or time out.
 class peer_calls {
  public:
@@ -18,8 +25,11 @@
 
   void claim(const std::string& to, const claim_record& claim,
              callback<claim_outcome> done);
+  /// Asks what a daemon holds of a request.
+  /// \param renounce whether it must never start the request from now on,
+  ///   unless it runs already.
   void find_pending(const std::string& to, const std::string& request_id,
-                    callback<result_record> done);
+                    bool renounce, callback<held_answer> done);
   void get_snapshot(const std::string& to, callback<std::string> done);
 
   /// \return false when the message answers no question.
--- a/src/daemon/pool-host.cc
+++ b/src/daemon/pool-host.cc
@@ -2,6 +2,7 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <set>
@@ -25,6 +26,8 @@
   std::string origin;
   std::string caller;
   std::string class_name;
+  work_kind kind = work_kind::online;
+  instant deadline{};
 };
 
 struct pool {
@@ -77,6 +80,7 @@
   void ask_witness(const std::string& line, std::function<void()> then);
   void count(const sequencer_command& command);
   void announce_durable(pool& it);
+  void tell_origins(const pool& it);
   void abandon(pool& it);
   void send_not_owner(const std::string& to, const std::string& model,
                       const std::string& request_id);
@@ -312,10 +316,14 @@
   links.peers->send(to, std::move(out));
 }
 
-void pool_host::state::abandon(pool& it) {
+void pool_host::state::tell_origins(const pool& it) {
   for (const auto& [id, known] : it.contexts) {
     send_not_owner(known.origin, it.model, id);
   }
+}
+
+void pool_host::state::abandon(pool& it) {
+  tell_origins(it);
   auto model = it.model;
   links.loop->post([self = shared_from_this(), model] {
     auto found = self->pools.find(model);
@@ -340,7 +348,8 @@
     }
     auto& pool = s.open(it->pool);
     auto item = from_wire(*it->item);
-    pool.contexts[item.id] = {from, item.caller, item.class_name};
+    pool.contexts[item.id] = {from, item.caller, item.class_name, item.kind,
+                              item.deadline};
     pool.origins.insert(from);
     s.apply(it->pool, submit_event{.item = std::move(item),
                                    .origin = from,
@@ -377,7 +386,8 @@
   }
   if (const auto* it = body.Asrecords()) {
     for (auto& [model, pool] : s.pools) {
-      if (pool.opening) pool.opening->take_records(from, it->lines);
+      if (pool.opening)
+        pool.opening->take_records(from, it->lines, it->complete);
     }
     return true;
   }
@@ -394,7 +404,9 @@
     std::erase_if(it.contexts, [&](const auto& entry) {
       const auto& [id, known] = entry;
       if (known.origin != name) return false;
-      state_->links.record_lost(id, known.caller);
+      if (known.kind != work_kind::batch) {
+        state_->links.record_lost(id, known.caller, known.deadline);
+      }
       return true;
     });
     it.origins.erase(name);
@@ -402,6 +414,20 @@
   }
 }
 
+std::optional<std::vector<std::string>> pool_host::surrender(
+    const std::string& name, const epoch_id& epoch) {
+  auto& pools = state_->pools;
+  auto found = std::find_if(pools.begin(), pools.end(), [&](const auto& it) {
+    return it.second.log && it.second.name == name && it.second.epoch == epoch;
+  });
+  if (found == pools.end()) return std::nullopt;
+  auto lines = found->second.log->pending();
+  LOG(INFO) << "surrendered epoch " << to_text(epoch) << " of pool " << name;
+  state_->tell_origins(found->second);
+  pools.erase(found);
+  return lines;
+}
+
 void pool_host::tick() {
   auto now = event_loop::now();
   for (auto& [model, it] : state_->pools)
@@ -413,9 +439,7 @@
   for (auto& [model, it] : state_->pools) {
     if (!it.log) continue;
     it.log->close(event_loop::now());
-    for (const auto& [id, known] : it.contexts) {
-      state_->send_not_owner(known.origin, model, id);
-    }
+    state_->tell_origins(it);
   }
 }
 
--- a/src/net/peer.cc
+++ b/src/net/peer.cc
@@ -126,7 +126,7 @@
     watch();
   }
 
-  void send(std::string frame) {
+  void send(const std::string& frame) {
     if (closed_) return;
     unsent_ += frame.size();
     if (unsent_ > max_unsent_bytes) {
@@ -232,7 +232,7 @@
     return true;
   }
 
-  void write_now(std::string frame) {
+  void write_now(const std::string& frame) {
     early_ += frame;
     flush();
   }
@@ -426,7 +426,7 @@
 }
 
 void peer_network::send_envelope(const std::string& peer,
-                                 wire::envelopeT message) {
+                                 const wire::envelopeT& message) {
   impl_->send(peer, message);
 }
 
--- a/src/platform/http-stores.cc
+++ b/src/platform/http-stores.cc
@@ -95,7 +95,7 @@
   http_stores_options options;
 
   template <typename T, typename Read>
-  void call(http_request request, callback<T> done, Read read) const {
+  void call(http_request&& request, callback<T> done, Read read) const {
     fetch(*loop,
           {.address = options.address,
            .request = std::move(request),
