--- a/include/fulmarpitch/daemon/batch-runner.h
+++ b/include/fulmarpitch/daemon/batch-runner.h
@@ -30,6 +30,8 @@
   platform_stores stores;
   std::function<std::shared_ptr<const configuration>()> in_force;
   std::function<bool()> is_ready;
+  /// Whether a daemon is known to be lost.
+  std::function<bool(const std::string& name)> is_lost;
 };
 
 struct batch_runner_counts {
--- a/include/fulmarpitch/state/chunk-lease.h
+++ b/include/fulmarpitch/state/chunk-lease.h
@@ -89,6 +89,9 @@
   /// Unique for each life of a VM's daemon.
   std::string holder;
   std::uint64_t random_seed = 1;
+  /// Whether a holder is known to be lost; its chunks need not wait for the end
+  /// of their leases, for the fencing number refuses it should it come back.
+  std::function<bool(const std::string& holder)> is_lost;
   instant lease_length = std::chrono::seconds(60);
   instant renew_after = std::chrono::seconds(25);
   /// No item starts in the last part of a lease.
--- a/src/daemon/batch-runner.cc
+++ b/src/daemon/batch-runner.cc
@@ -94,7 +94,9 @@
         random(options.random_seed) {}
 
   chunk_options holder_options() const {
-    return {.holder = options.holder, .random_seed = options.random_seed};
+    return {.holder = options.holder,
+            .random_seed = options.random_seed,
+            .is_lost = links.is_lost};
   }
 
   void look(instant now);
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -164,7 +164,12 @@
       batch_runner_links{.requests = requests.get(),
                          .stores = options.stores,
                          .in_force = [this] { return watcher->in_force(); },
-                         .is_ready = [this] { return is_ready(); }});
+                         .is_ready = [this] { return is_ready(); },
+                         .is_lost =
+                             [this](const auto& holder) {
+                               auto it = members->members().member(holder);
+                               return it && it->state == member_state::dead;
+                             }});
   watcher = std::make_unique<config_watcher>(
       watcher_options{.vm = name, .random_seed = stable_hash(name)},
       watcher_links{
--- a/src/state/chunk-finder.cc
+++ b/src/state/chunk-finder.cc
@@ -62,9 +62,11 @@
   return concat(it.options.holder, "/finder/", it.transactions++);
 }
 
-bool may_be_leased(const chunk_info& chunk, instant now) {
+bool may_be_leased(const search& it, const chunk_info& chunk) {
   if (chunk.state == chunk_state::unleased) return true;
-  return chunk.state == chunk_state::leased && chunk.until <= now;
+  if (chunk.state != chunk_state::leased) return false;
+  const auto& is_lost = it.finder->options.is_lost;
+  return chunk.until <= it.now || (is_lost && is_lost(chunk.holder));
 }
 
 /// Gives every chunk of the window, also those without a row.
@@ -115,7 +117,7 @@
                  const std::vector<chunk_info>& chunks) {
   auto transaction = table_transaction{.id = next_id(*it->finder)};
   for (const auto& chunk : chunks) {
-    if (!may_be_leased(chunk, it->now)) continue;
+    if (!may_be_leased(*it, chunk)) continue;
     if (transaction.writes.size() >= drops_per_write) break;
     const auto key = chunk_key(job, chunk.number);
     auto dropped = chunk_info{.number = chunk.number,
@@ -148,7 +150,7 @@
 void use_window(const search_ptr& it, const std::vector<chunk_info>& chunks) {
   auto open = std::vector<chunk_info>();
   for (const auto& chunk : chunks) {
-    if (may_be_leased(chunk, it->now)) open.push_back(chunk);
+    if (may_be_leased(*it, chunk)) open.push_back(chunk);
   }
   if (open.empty()) {
     it->window += chunks_per_read;
--- a/test/jobs-test.cc
+++ b/test/jobs-test.cc
@@ -164,6 +164,30 @@
   CHECK(content(it, find(it, job), content_kind::output) == "by 2 i0\n");
 }
 
+TEST_CASE("a lost holder's chunk is leased at once, and its commit fenced") {
+  auto it = store_bench();
+  const auto job = create(it, {.file = upload_items(it, 2)})->job;
+  auto options = options_of("b");
+  options.is_lost = [](const std::string& holder) { return holder == "a"; };
+  auto finder = chunk_finder(it.stores, options);
+  auto lost =
+      chunk_holder(it.stores, options_of("a"), *search(it, finder), it.now);
+  it.run(1s, lost);
+  const auto found = search(it, finder);
+  REQUIRE(found);
+  auto next = chunk_holder(it.stores, options, *found, it.now);
+  it.run(1s, next);
+  REQUIRE(next.current() == lease_state::held);
+  lost.finish(run_items(lost));
+  it.run(5s, lost);
+  CHECK(lost.current() == lease_state::lost);
+  next.finish(run_items(next));
+  it.run(1s, next);
+  CHECK(next.current() == lease_state::committed);
+  CHECK_FALSE(search(it, finder));
+  CHECK(content(it, find(it, job), content_kind::output) == "by 2 i0\n");
+}
+
 TEST_CASE("a lease is renewed, handed back and taken over") {
   auto it = store_bench();
   create(it, {.file = upload_items(it, 2)}).value();
