--- a/src/daemon/roster.cc
+++ b/src/daemon/roster.cc
@@ -2,9 +2,9 @@
 
 #include <array>
 #include <boost/asio/ip/udp.hpp>
-#include <charconv>
 #include <optional>
 
+#include "../net/endpoint.h"
 #include "../net/event-loop-impl.h"
 #include "fulmarpitch/core/errors.h"
 #include "fulmarpitch/core/rendezvous.h"
@@ -23,18 +23,6 @@
 constexpr std::size_t tag_bytes = 16;
 constexpr std::size_t max_datagram_bytes = 16'384;
 
-std::optional<udp::endpoint> parse_endpoint(const std::string& address) {
-  auto colon = address.rfind(':');
-  if (colon == std::string::npos) return std::nullopt;
-  auto port = std::uint16_t{};
-  const auto* end = address.data() + address.size();
-  auto [it, error] = std::from_chars(address.data() + colon + 1, end, port);
-  auto ec = boost::system::error_code();
-  auto host = asio::ip::make_address(address.substr(0, colon), ec);
-  if (ec || error != std::errc() || it != end) return std::nullopt;
-  return udp::endpoint(host, port);
-}
-
 }  // namespace
 
 struct roster::impl : std::enable_shared_from_this<roster::impl> {
@@ -115,7 +103,8 @@
   auto bytes = encode_gossip(output.message);
   auto datagram = prove(options.secret, bytes).substr(0, tag_bytes) + bytes;
   auto ec = boost::system::error_code();
-  socket.send_to(asio::buffer(datagram), *to, 0, ec);
+  socket.send_to(asio::buffer(datagram),
+                 udp::endpoint(to->address(), to->port()), 0, ec);
   if (!ec) sent += datagram.size();
 }
 
--- a/src/net/http-client.cc
+++ b/src/net/http-client.cc
@@ -6,8 +6,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
-#include <charconv>
 
+#include "endpoint.h"
 #include "event-loop-impl.h"
 #include "fulmarpitch/core/errors.h"
 #include "fulmarpitch/core/text.h"
@@ -23,21 +23,6 @@
 
 constexpr std::size_t read_bytes = 16'384;
 
-std::optional<tcp::endpoint> parse_address(const std::string& address) {
-  auto colon = address.rfind(':');
-  if (colon == std::string::npos) return std::nullopt;
-  auto port = std::uint16_t{};
-  const auto* end = address.data() + address.size();
-  if (auto [it, ec] = std::from_chars(address.data() + colon + 1, end, port);
-      ec != std::errc() || it != end) {
-    return std::nullopt;
-  }
-  auto ec = boost::system::error_code();
-  auto host = asio::ip::make_address(address.substr(0, colon), ec);
-  if (ec) return std::nullopt;
-  return tcp::endpoint(host, port);
-}
-
 http::request<http::string_body> to_beast(const http_call_options& options) {
   const auto& from = options.request;
   auto out = http::request<http::string_body>();
@@ -93,7 +78,7 @@
   }
 
   asio::awaitable<void> run() {
-    auto to = parse_address(options_.address);
+    auto to = parse_endpoint(options_.address);
     if (!to) {
       end(make_error(error_code::bad_request,
                      concat("bad address ", options_.address)));
--- a/src/net/http-server.cc
+++ b/src/net/http-server.cc
@@ -9,6 +9,7 @@
 #include <boost/beast/http.hpp>
 #include <deque>
 
+#include "endpoint.h"
 #include "event-loop-impl.h"
 #include "fulmarpitch/core/errors.h"
 #include "fulmarpitch/core/text.h"
@@ -402,19 +403,9 @@
 }
 
 absl::Status http_server::start() {
-  auto ec = boost::system::error_code();
-  auto host = asio::ip::make_address(impl_->options.host, ec);
-  auto at = tcp::endpoint(host, impl_->options.port);
-  auto& acceptor = impl_->acceptor;
-  if (!ec) acceptor.open(at.protocol(), ec);
-  if (!ec) acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
-  if (!ec) acceptor.bind(at, ec);
-  if (!ec) acceptor.listen(asio::socket_base::max_listen_connections, ec);
-  if (ec) {
-    return make_error(error_code::bad_request,
-                      concat("cannot listen on ", impl_->options.host, ":",
-                             impl_->options.port, ": ", ec.message()));
-  }
+  const auto& options = impl_->options;
+  auto status = listen_on(impl_->acceptor, options.host, options.port);
+  if (!status.ok()) return status;
   asio::co_spawn(
       impl_->loop.native().io, [server = impl_] { return accept_all(server); },
       asio::detached);
--- a/src/net/peer.cc
+++ b/src/net/peer.cc
@@ -10,11 +10,11 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/endian/conversion.hpp>
-#include <charconv>
 #include <map>
 #include <set>
 #include <vector>
 
+#include "endpoint.h"
 #include "event-loop-impl.h"
 #include "fulmarpitch/core/errors.h"
 #include "fulmarpitch/core/text.h"
@@ -288,18 +288,6 @@
   bool closed_ = false;
 };
 
-std::optional<tcp::endpoint> parse_endpoint(const std::string& address) {
-  auto colon = address.rfind(':');
-  if (colon == std::string::npos) return std::nullopt;
-  auto port = std::uint16_t{};
-  const auto* end = address.data() + address.size();
-  auto [it, error] = std::from_chars(address.data() + colon + 1, end, port);
-  auto ec = boost::system::error_code();
-  auto host = asio::ip::make_address(address.substr(0, colon), ec);
-  if (ec || error != std::errc() || it != end) return std::nullopt;
-  return tcp::endpoint(host, port);
-}
-
 }  // namespace
 
 void peer_network::impl::send(const std::string& peer,
@@ -387,19 +375,9 @@
 }
 
 absl::Status peer_network::start() {
-  auto ec = boost::system::error_code();
-  auto host = asio::ip::make_address(impl_->options.host, ec);
-  auto at = tcp::endpoint(host, impl_->options.port);
-  auto& acceptor = impl_->acceptor;
-  if (!ec) acceptor.open(at.protocol(), ec);
-  if (!ec) acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
-  if (!ec) acceptor.bind(at, ec);
-  if (!ec) acceptor.listen(asio::socket_base::max_listen_connections, ec);
-  if (ec) {
-    return make_error(error_code::bad_request,
-                      concat("cannot listen for peers on ", impl_->options.host,
-                             ":", impl_->options.port, ": ", ec.message()));
-  }
+  const auto& options = impl_->options;
+  auto status = listen_on(impl_->acceptor, options.host, options.port);
+  if (!status.ok()) return status;
   asio::co_spawn(
       impl_->loop.native().io, [net = impl_] { return net->accept_all(); },
       asio::detached);
