Mend what the sanitizers found

Cause: the sanitizer run failed in 5 of 38 tests. http-test kept an exchange and a call beyond their event loop; calls under way in the stores in memory hold the stores that hold them, so runs that end early leaked (watcher-test and the soak runs without a safeguard). Change: a scope drops the pending calls at the end of a run; the test lets its handles go first; the headers state the lifetime.

--- a/include/fulmarpitch/net/http.h
+++ b/include/fulmarpitch/net/http.h
@@ -45,7 +45,8 @@
                              std::string_view name);
 
 /// One request that a server received, and the answer to it. Every call is
-/// safe after the client has gone; it then does nothing.
+/// safe after the client has gone; it then does nothing. Must not outlive the
+/// event loop.
 class http_exchange {
  public:
   virtual ~http_exchange() = default;
@@ -130,7 +131,7 @@
   std::function<void(absl::Status)> on_end;
 };
 
-/// A call that can be cancelled.
+/// A call that can be cancelled. Must not outlive the event loop.
 class http_call {
  public:
   virtual ~http_call() = default;
--- a/include/fulmarpitch/platform/memory-stores.h
+++ b/include/fulmarpitch/platform/memory-stores.h
@@ -82,6 +82,19 @@
 /// \return the shared state of both stores.
 std::shared_ptr<memory_stores> make_memory_stores(store_fault_plan plan = {});
 
+/// Drops the calls under way when it goes out of scope. Their callbacks hold
+/// the stores that hold them, so a run that ends early must drop them.
+class pending_calls_scope {
+ public:
+  explicit pending_calls_scope(std::shared_ptr<memory_stores> state);
+  ~pending_calls_scope();
+  pending_calls_scope(const pending_calls_scope&) = delete;
+  pending_calls_scope& operator=(const pending_calls_scope&) = delete;
+
+ private:
+  std::shared_ptr<memory_stores> state_;
+};
+
 /// Gives the table service over the state.
 /// \param state the shared state; the functions keep it alive.
 /// \return the struct of functions.
--- a/src/platform/memory-stores.cc
+++ b/src/platform/memory-stores.cc
@@ -312,4 +312,11 @@
   return n;
 }
 
+pending_calls_scope::pending_calls_scope(std::shared_ptr<memory_stores> state)
+    : state_(std::move(state)) {}
+
+pending_calls_scope::~pending_calls_scope() {
+  auto dropped = std::exchange(state_->scheduled, {});
+}
+
 }  // namespace fulmar
--- a/src/soak/run.cc
+++ b/src/soak/run.cc
@@ -285,6 +285,7 @@
 
 soak_report run_soak(const soak_options& options) {
   auto it = soak::make_world(options);
+  const auto pending = pending_calls_scope(it.memory);
   soak::give_recorder_role(it, 0);
   soak::give_pool_role(it, 1);
   auto broken = std::string();
--- a/test/http-test.cc
+++ b/test/http-test.cc
@@ -137,4 +137,6 @@
   it.loop.run();
   CHECK(told);
   CHECK(code_of(status) == error_code::cancelled);
+  kept.reset();
+  call.reset();
 }
--- a/test/watcher-test.cc
+++ b/test/watcher-test.cc
@@ -33,6 +33,7 @@
   };
 
   std::shared_ptr<memory_stores> state;
+  pending_calls_scope pending{state};
   config_stores stores;
   std::vector<std::unique_ptr<vm>> vms;
   std::mt19937_64 random;
