A daemon that started again takes its own jobs back at once

The earlier life of the daemon itself needs no hearing.

Ruled out: a shorter wait for all jobs, as owners of other VMs would be taken for lost before they were heard.

--- a/src/serving/job-system.cc
+++ b/src/serving/job-system.cc
@@ -11,6 +11,7 @@
 #include "fulmarpitch/core/rendezvous.h"
 #include "fulmarpitch/core/text.h"
 #include "fulmarpitch/net/event-splitter.h"
+#include "fulmarpitch/serving/job-takeover.h"
 #include "job-store.h"
 #include "job-writes.h"
 #include "platform/names.h"
@@ -38,15 +39,9 @@
 /// times are too many, and a new owner counts anew.
 constexpr std::uint32_t failures_per_attempt = 2;
 
-/// A daemon that has just started has not heard the others yet.
-constexpr auto settle_time = std::chrono::milliseconds(2500);
-
 /// A job that was not taken over or read is tried again after this time.
 constexpr auto adoption_pause = std::chrono::milliseconds(200);
 
-/// Far data centres are heard through summaries, which take longer to flow.
-constexpr auto far_settle_time = std::chrono::milliseconds(6000);
-
 /// An answer that is no stream is at most this long.
 constexpr std::size_t max_failure_bytes = std::size_t{1024} * 1024;
 
@@ -249,28 +244,6 @@
     drop_run(in, id, "another owner, or ended");
 }
 
-bool owner_is_lost(const front& in, const job_owner& owner, instant now) {
-  auto mark = owner.name.rfind('#');
-  if (mark == std::string::npos) return true;
-  auto name = owner.name.substr(0, mark);
-  // An earlier life of this daemon.
-  if (name == in.settings.name) return true;
-  auto incarnation = live_incarnation(in.board, name, now);
-  return !incarnation || owner.name != concat(name, "#", *incarnation);
-}
-
-/// Tells whether this daemon is the one to take over a job: the first in
-/// rendezvous order of the owner's data centre, or of all when none is left.
-bool is_successor(const front& in, const job_row& job, instant now) {
-  auto here = job.owner.data_centre == in.settings.data_centre;
-  if (!here && now - in.began < far_settle_time) return false;
-  auto among = live_members(in.board, job.owner.data_centre, now);
-  if (!here && !among.empty()) return false;
-  if (!here) among = live_members(in.board, "", now);
-  among.push_back(in.settings.name);
-  return rendezvous_owner(job.id, among) == in.settings.name;
-}
-
 void log_not_adopted(front& in, const job_row& job, const absl::Status& fault) {
   auto why = std::string(fault.message());
   in.log.add("job_not_adopted", {{"job", job.id}, {"why", why}});
@@ -317,15 +290,15 @@
 }
 
 void adopt_jobs(front& in, instant now) {
-  if (in.leaving || now - in.began < settle_time) return;
+  if (in.leaving) return;
+  auto self = takeover_candidate{.name = in.settings.name,
+                                 .data_centre = in.settings.data_centre,
+                                 .age = now - in.began};
   for (const auto& [id, job] : in.book.jobs) {
     if (!job.open() || in.runs.contains(id) || in.adopting.contains(id))
       continue;
     auto mine = job.owner == in.self;
-    if (!mine &&
-        (!owner_is_lost(in, job.owner, now) || !is_successor(in, job, now))) {
-      continue;
-    }
+    if (!mine && !should_take_over(in.board, self, job, now)) continue;
     in.adopting.insert(id);
     asio::co_spawn(
         in.io,
--- /dev/null
+++ b/src/serving/job-takeover.cc
@@ -0,0 +1,46 @@
+#include "fulmarpitch/serving/job-takeover.h"
+
+#include <string_view>
+
+#include "fulmarpitch/core/rendezvous.h"
+#include "fulmarpitch/core/text.h"
+
+namespace fulmar::serving {
+namespace {
+
+/// \return the VM in an owner's name, which holds the incarnation as well.
+std::string vm_of(const job_owner& owner) {
+  return owner.name.substr(0, owner.name.rfind('#'));
+}
+
+bool is_lost(const load_board& board, const job_owner& owner, instant now) {
+  auto name = vm_of(owner);
+  auto incarnation = live_incarnation(board, name, now);
+  return !incarnation || owner.name != concat(name, "#", *incarnation);
+}
+
+bool is_first(const load_board& board, const takeover_candidate& self,
+              const job_row& job, instant now,
+              const takeover_options& options) {
+  auto near = job.owner.data_centre == self.data_centre;
+  if (!near && self.age < options.far_settle_time) return false;
+  auto among = live_members(board, job.owner.data_centre, now);
+  if (!near && !among.empty()) return false;
+  if (!near) among = live_members(board, "", now);
+  among.push_back(self.name);
+  return rendezvous_owner(job.id, among) == self.name;
+}
+
+}  // namespace
+
+bool should_take_over(const load_board& board, const takeover_candidate& self,
+                      const job_row& job, instant now,
+                      const takeover_options& options) {
+  if (!job.open()) return false;
+  if (vm_of(job.owner) == self.name) return true;
+  if (self.age < options.settle_time) return false;
+  return is_lost(board, job.owner, now) &&
+         is_first(board, self, job, now, options);
+}
+
+}  // namespace fulmar::serving
--- /dev/null
+++ b/test/job-takeover-test.cc
@@ -0,0 +1,96 @@
+#include "fulmarpitch/serving/job-takeover.h"
+
+#include <catch2/catch.hpp>
+
+#include <vector>
+
+using namespace fulmar;
+using namespace fulmar::serving;
+using namespace std::chrono_literals;
+
+namespace {
+
+job_row job_of(const std::string& owner, const std::string& data_centre) {
+  return {.id = "j1",
+          .host = "a.example",
+          .route = "r",
+          .items = 2,
+          .owner = {.name = owner, .data_centre = data_centre}};
+}
+
+/// Data centre a with the daemons vm1 to vm4, as each of them hears it.
+struct play {
+  load_board board{.data_centre = "a"};
+  std::uint64_t sequence = 0;
+
+  void hear(const std::string& name, std::uint64_t incarnation, instant now) {
+    take_report(board,
+                {.name = name,
+                 .data_centre = "a",
+                 .incarnation = incarnation,
+                 .sequence = ++sequence},
+                now);
+  }
+
+  void hear_far(const std::string& name, instant now) {
+    take_summary(board,
+                 {.data_centre = "b",
+                  .gathered = now,
+                  .members = {{.name = name, .incarnation = 1}}},
+                 true, now);
+  }
+};
+
+takeover_candidate daemon(const std::string& name, instant age = 60s) {
+  return {.name = name, .data_centre = "a", .age = age};
+}
+
+}  // namespace
+
+TEST_CASE("a daemon that started again takes its jobs back at once") {
+  auto it = play();
+  auto job = job_of("vm1#7", "a");
+  CHECK(should_take_over(it.board, daemon("vm1", 0s), job, 10s));
+
+  SECTION("unless they are done") {
+    job.ended = true;
+    CHECK_FALSE(should_take_over(it.board, daemon("vm1", 0s), job, 10s));
+  }
+  SECTION("jobs of others wait until they were heard") {
+    CHECK_FALSE(should_take_over(it.board, daemon("vm2", 2400ms), job, 10s));
+    CHECK(should_take_over(it.board, daemon("vm2", 2500ms), job, 10s));
+  }
+}
+
+TEST_CASE("a live owner keeps its job") {
+  auto it = play();
+  it.hear("vm1", 7, 10s);
+  CHECK_FALSE(
+      should_take_over(it.board, daemon("vm2"), job_of("vm1#7", "a"), 11s));
+  // It was heard last 1.7 s ago.
+  CHECK(
+      should_take_over(it.board, daemon("vm2"), job_of("vm1#7", "a"), 11700ms));
+}
+
+TEST_CASE("one of the data centre takes over from a lost owner") {
+  auto names = std::vector<std::string>{"vm2", "vm3", "vm4"};
+  auto takers = 0;
+  for (const auto& self : names) {
+    auto it = play();
+    for (const auto& other : names) {
+      if (other != self) it.hear(other, 1, 10s);
+    }
+    auto job = job_of("vm1#7", "a");
+    if (should_take_over(it.board, daemon(self), job, 10s)) ++takers;
+  }
+  CHECK(takers == 1);
+}
+
+TEST_CASE("a job of a lost data centre goes to another one") {
+  auto it = play();
+  auto job = job_of("vm9#1", "b");
+  it.hear_far("vm8", 10s);
+  CHECK_FALSE(should_take_over(it.board, daemon("vm1"), job, 11s));
+  CHECK_FALSE(should_take_over(it.board, daemon("vm1", 5900ms), job, 16s));
+  CHECK(should_take_over(it.board, daemon("vm1", 6000ms), job, 16s));
+}
