Followed tables get a file of their own, and their source is logged

feed_source tells whether a daemon reads a table for its data centre, hears it from another or reads for itself, and why.

--- a/include/fulmarpitch/serving/feed.h
+++ b/include/fulmarpitch/serving/feed.h
@@ -6,6 +6,7 @@
 /// so that the store's load does not grow with the daemons. Whoever misses a
 /// page, or hears none, reads from the store itself.
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -32,6 +33,24 @@
   std::vector<stored_row> rows;
 };
 
+/// Who reads a table's changes for a daemon.
+enum class feed_source {
+  nobody_yet,
+  /// This daemon reads for its data centre.
+  for_all,
+  /// Another one passes on what it read.
+  passed_on,
+  /// This daemon reads for itself alone: it missed a page or heard none.
+  for_itself,
+};
+
+inline constexpr std::array<named<feed_source>, 4> feed_source_names{{
+    {feed_source::nobody_yet, "nobody_yet"},
+    {feed_source::for_all, "for_all"},
+    {feed_source::passed_on, "passed_on"},
+    {feed_source::for_itself, "for_itself"},
+}};
+
 /// How far a daemon knows a table.
 struct feed_state {
   /// All changes up to this version are known; 0 before the table was read.
@@ -40,6 +59,7 @@
   instant confirmed{};
   /// Changes in between were missed.
   bool gap = false;
+  feed_source source = feed_source::nobody_yet;
 };
 
 /// A table that nobody confirmed for this long is read from the store. Readers
--- a/include/fulmarpitch/serving/quota.h
+++ b/include/fulmarpitch/serving/quota.h
@@ -30,7 +30,7 @@
 };
 
 /// A job that wants to be accepted.
-struct quota_question {
+struct quota_request {
   std::string gate;
   /// Tokens of the job.
   std::uint64_t tokens = 0;
@@ -48,11 +48,10 @@
 /// \param jobs what this daemon accepted without order.
 /// \param it the job.
 /// \param now the steady clock.
-bool fits_without_order(const unordered_jobs& jobs, const quota_question& it,
+bool fits_without_order(const unordered_jobs& jobs, const quota_request& it,
                         instant now);
 
 /// Notes a job that may be accepted without order from now on.
-void note_unordered(unordered_jobs& jobs, const quota_question& it,
-                    instant now);
+void note_unordered(unordered_jobs& jobs, const quota_request& it, instant now);
 
 }  // namespace fulmar::serving
--- a/src/serving/discovery.cc
+++ b/src/serving/discovery.cc
@@ -16,13 +16,11 @@
 #include "platform/json-fields.h"
 #include "platform/names.h"
 #include "reports.h"
+#include "table-follower.h"
 
 namespace fulmar::serving {
 namespace {
 
-/// Pause after a failed call; the store's outages last seconds.
-constexpr auto retry_pause = std::chrono::milliseconds(250);
-
 /// A change of the configuration is asked for this long at a time. A call that
 /// an outage swallowed is noticed one answer's time later, well within the 3 s
 /// in which a configuration must be in force.
@@ -42,42 +40,12 @@
 constexpr auto job_wait = std::chrono::milliseconds(700);
 constexpr auto job_gather = std::chrono::milliseconds(300);
 
-/// Whether a table must be read is asked this often: little beside the time
-/// in which changes gather.
-constexpr auto turn_check = std::chrono::milliseconds(100);
-
 /// Table in which daemons make themselves known.
 constexpr const char* member_table = "members";
 
 /// How often the members are read again: for daemons that no seed knows.
 constexpr auto member_period = std::chrono::seconds(15);
 
-/// Tells the log about the first failure in a row, and about its end.
-class dependency_watch {
- public:
-  dependency_watch(front& in, std::string_view what)
-      : front_(in), what_(what) {}
-
-  void lost(const absl::Status& status) {
-    // A dropped history is no outage.
-    if (code_of(status) == error_code::not_found) return;
-    if (std::exchange(lost_, true)) return;
-    auto message = std::string(status.message());
-    front_.log.add("dependency_lost", {{"what", what_}, {"why", message}});
-  }
-
-  void regained() {
-    if (!std::exchange(lost_, false)) return;
-    front_.store_regained = event_loop::steady();
-    front_.log.add("dependency_regained", {{"what", what_}});
-  }
-
- private:
-  front& front_;
-  std::string_view what_;
-  bool lost_ = false;
-};
-
 void apply_limits(front& in) {
   const auto& limits = in.configuration->limits;
   in.clients->set_limits({.max_body_bytes = limits.max_body_bytes,
@@ -162,88 +130,6 @@
   }
 }
 
-void take_clock(front& in, instant store_now) {
-  if (store_now.count() > 0)
-    in.store_clock_offset = store_now - event_loop::steady();
-}
-
-/// How a table is followed.
-struct table_follower {
-  /// Names the dependency in the log.
-  std::string_view what;
-  /// Reads the whole table.
-  std::function<task<absl::StatusOr<row_page>>()> read_whole;
-  std::string table;
-  /// Longest wait for a change.
-  instant wait{};
-  /// Pause after each answer, in which changes gather.
-  instant gather{};
-  /// Takes the whole table, or what changed in it.
-  std::function<void(const std::vector<stored_row>&, bool whole)> take;
-  /// How far the table is known.
-  feed_state* state = nullptr;
-  /// One daemon of the data centre reads it for the others.
-  bool shared = false;
-};
-
-bool reads_for_others(const front& in) {
-  return reads_for_others(in.board, in.settings.name, store_lost(in),
-                          event_loop::steady());
-}
-
-/// Waits until this daemon must ask the store for changes.
-task<void> wait_for_turn(front& in, const table_follower& it) {
-  while (it.shared &&
-         !must_read(*it.state, reads_for_others(in), event_loop::steady()))
-    co_await pause_for(turn_check);
-}
-
-/// Tells the data centre what changed, if this daemon reads for it.
-void pass_on_changes(front& in, const table_follower& it, std::uint64_t after,
-                     const row_page& page) {
-  if (!it.shared || !reads_for_others(in)) return;
-  auto out = feed_page{.data_centre = in.settings.data_centre,
-                       .table = it.table,
-                       .after = after,
-                       .version = page.version,
-                       .rows = page.rows};
-  if (in.store_regained)
-    out.outage_ended = event_loop::steady() - *in.store_regained;
-  in.reports->pass_on(out);
-}
-
-/// Follows a table for as long as the process lives. An outage leaves what is
-/// known in force; a dropped history has the table read anew.
-task<void> follow(front& in, table_follower it) {
-  auto watch = dependency_watch(in, it.what);
-  auto& state = *it.state;
-  for (;;) {
-    co_await wait_for_turn(in, it);
-    auto after = state.version;
-    auto whole = after == 0;
-    auto page = absl::StatusOr<row_page>(row_page());
-    if (whole) {
-      page = co_await it.read_whole();
-    } else {
-      page = co_await in.store.changes(it.table, after, it.wait);
-    }
-    if (!page.ok()) {
-      watch.lost(page.status());
-      if (code_of(page.status()) == error_code::not_found) state.version = 0;
-      co_await pause_for(retry_pause);
-      continue;
-    }
-    watch.regained();
-    take_clock(in, page->now);
-    if (!whole) pass_on_changes(in, it, after, *page);
-    take_answer(state, whole, *page, event_loop::steady());
-    it.take(page->rows, whole);
-    // A store that holds nothing yet has no version to wait behind.
-    auto empty = state.version == 0;
-    co_await pause_for(empty ? instant(retry_pause) : it.gather);
-  }
-}
-
 void take_target_list(front& in, const std::vector<stored_row>& rows) {
   auto listed = absl::flat_hash_set<std::string>();
   for (const auto& it : rows) {
@@ -367,11 +253,17 @@
     auto ended = now - *page.outage_ended;
     in.store_regained = std::max(in.store_regained.value_or(ended), ended);
   }
-  if (page.table == platform::table::targets) {
-    take_targets(in, take_passed_on(in.feeds.targets, std::move(page), now),
-                 false);
-  } else if (page.table == job_table::jobs) {
-    take_jobs(in, take_passed_on(in.feeds.jobs, std::move(page), now));
+  auto targets = page.table == platform::table::targets;
+  if (!targets && page.table != job_table::jobs) return;
+  auto& state = targets ? in.feeds.targets : in.feeds.jobs;
+  auto table = page.table;
+  auto rows = take_passed_on(state, std::move(page), now);
+  if (state.version > 0 && !state.gap)
+    note_source(in, table, state, feed_source::passed_on);
+  if (targets) {
+    take_targets(in, rows, false);
+  } else {
+    take_jobs(in, rows);
   }
 }
 
--- a/src/serving/job-calls.cc
+++ b/src/serving/job-calls.cc
@@ -87,7 +87,8 @@
   if (served) co_return;
   auto job = co_await look_up(in, host_of(*client), id);
   if (!job.ok() && code_of(job.status()) == error_code::not_found) {
-    in.log.add("job_unknown", {{"job", id}, {"book_version", in.feeds.jobs.version}});
+    in.log.add("job_unknown",
+               {{"job", id}, {"book_version", in.feeds.jobs.version}});
     refuse(*client, status_not_found, "there is no such job");
     co_return;
   }
--- a/src/serving/job-submission.cc
+++ b/src/serving/job-submission.cc
@@ -78,7 +78,7 @@
   return exists;
 }
 
-quota_question question_of(const front& in, const submission& it) {
+quota_request quota_request_of(const front& in, const submission& it) {
   auto now = event_loop::steady();
   return {.gate = concat(it.job.host, " ", it.job.route),
           .tokens = it.tokens,
@@ -91,11 +91,11 @@
 /// so that two daemons never both use the last room.
 task<accepted> accept(front& in, submission& it, std::string_view body) {
   auto gate = job_book::gate();
-  auto question = question_of(in, it);
-  const auto& key = question.gate;
+  auto request = quota_request_of(in, it);
+  const auto& key = request.gate;
   auto now = event_loop::steady();
-  it.ordered = !fits_without_order(in.unordered, question, now);
-  if (!it.ordered) note_unordered(in.unordered, question, now);
+  it.ordered = !fits_without_order(in.unordered, request, now);
+  if (!it.ordered) note_unordered(in.unordered, request, now);
   if (auto known = in.book.gates.find(key); known != in.book.gates.end())
     gate = known->second;
   auto sends = 0;
--- a/src/serving/quota.cc
+++ b/src/serving/quota.cc
@@ -9,7 +9,7 @@
 
 }  // namespace
 
-bool fits_without_order(const unordered_jobs& jobs, const quota_question& it,
+bool fits_without_order(const unordered_jobs& jobs, const quota_request& it,
                         instant now) {
   if (it.limit == 0) return true;
   auto half = it.limit / 2;
@@ -21,7 +21,7 @@
   return it.waiting + it.tokens <= half && unseen <= half / it.daemons;
 }
 
-void note_unordered(unordered_jobs& jobs, const quota_question& it,
+void note_unordered(unordered_jobs& jobs, const quota_request& it,
                     instant now) {
   while (!jobs.recent.empty() &&
          now - jobs.recent.front().accepted >= unseen_time)
--- a/src/serving/reports.cc
+++ b/src/serving/reports.cc
@@ -183,7 +183,7 @@
   if (!data_centre.empty()) it->second.data_centre = data_centre;
 }
 
-void report_exchange::pass_on(const feed_page& page) {
+void report_exchange::send_feed(const feed_page& page) {
   auto now = event_loop::steady();
   for (const auto& bytes : encode_feed(page, max_datagram)) {
     for (auto& [address, it] : peers_) {
--- a/src/serving/reports.h
+++ b/src/serving/reports.h
@@ -47,8 +47,8 @@
   /// \param data_centre where it is; empty when unknown.
   void add_address(const std::string& address, const std::string& data_centre);
 
-  /// Passes changes of a table on to the data centre.
-  void pass_on(const feed_page& page);
+  /// Sends changes of a table to the data centre.
+  void send_feed(const feed_page& page);
 
   /// Sends to everyone at once, for example before leaving.
   void send_to_all();
--- /dev/null
+++ b/src/serving/table-follower.cc
@@ -0,0 +1,125 @@
+#include "table-follower.h"
+
+#include <utility>
+
+#include "fulmarpitch/core/errors.h"
+#include "reports.h"
+
+namespace fulmar::serving {
+namespace {
+
+/// Whether a table must be read is asked this often: little beside the time
+/// in which changes gather.
+constexpr auto turn_check = std::chrono::milliseconds(100);
+
+/// Tells the log about the first failure in a row, and about its end.
+class dependency_watch {
+ public:
+  dependency_watch(front& in, std::string_view what)
+      : front_(in), what_(what) {}
+
+  void lost(const absl::Status& status) {
+    // A dropped history is no outage.
+    if (code_of(status) == error_code::not_found) return;
+    if (std::exchange(lost_, true)) return;
+    auto message = std::string(status.message());
+    front_.log.add("dependency_lost", {{"what", what_}, {"why", message}});
+  }
+
+  void regained() {
+    if (!std::exchange(lost_, false)) return;
+    front_.store_regained = event_loop::steady();
+    front_.log.add("dependency_regained", {{"what", what_}});
+  }
+
+ private:
+  front& front_;
+  std::string_view what_;
+  bool lost_ = false;
+};
+
+void take_clock(front& in, instant store_now) {
+  if (store_now.count() > 0)
+    in.store_clock_offset = store_now - event_loop::steady();
+}
+
+bool reads_for_others(const front& in) {
+  return reads_for_others(in.board, in.settings.name, store_lost(in),
+                          event_loop::steady());
+}
+
+/// Waits until this daemon must ask the store for changes.
+task<void> wait_for_turn(front& in, const table_follower& it,
+                         dependency_watch& watch) {
+  auto& state = *it.state;
+  while (it.shared &&
+         !must_read(state, reads_for_others(in), event_loop::steady())) {
+    // What others pass on comes from the store as well.
+    if (state.source == feed_source::passed_on) watch.regained();
+    co_await pause_for(turn_check);
+  }
+}
+
+/// Tells the data centre what changed, if this daemon reads for it.
+void pass_on_changes(front& in, const table_follower& it, std::uint64_t after,
+                     const row_page& page) {
+  if (!it.shared) return;
+  auto reads = reads_for_others(in);
+  note_source(in, it.table, *it.state,
+              reads ? feed_source::for_all : feed_source::for_itself);
+  if (!reads) return;
+  auto out = feed_page{.data_centre = in.settings.data_centre,
+                       .table = it.table,
+                       .after = after,
+                       .version = page.version,
+                       .rows = page.rows};
+  if (in.store_regained)
+    out.outage_ended = event_loop::steady() - *in.store_regained;
+  in.reports->send_feed(out);
+}
+
+}  // namespace
+
+void note_source(front& in, std::string_view table, feed_state& state,
+                 feed_source source) {
+  if (std::exchange(state.source, source) == source) return;
+  auto silent = event_loop::steady() - state.confirmed;
+  in.log.add("feed_source",
+             {{"table", table},
+              {"source", name_in(feed_source_names, source)},
+              {"version", state.version},
+              {"gap", state.gap},
+              {"confirmed_us_ago", std::int64_t{silent.count()}}});
+}
+
+task<void> follow(front& in, table_follower it) {
+  auto watch = dependency_watch(in, it.what);
+  auto& state = *it.state;
+  for (;;) {
+    co_await wait_for_turn(in, it, watch);
+    auto after = state.version;
+    auto whole = after == 0;
+    auto page = absl::StatusOr<row_page>(row_page());
+    if (whole) {
+      page = co_await it.read_whole();
+    } else {
+      page = co_await in.store.changes(it.table, after, it.wait);
+    }
+    if (!page.ok()) {
+      watch.lost(page.status());
+      if (code_of(page.status()) == error_code::not_found) state.version = 0;
+      co_await pause_for(retry_pause);
+      continue;
+    }
+    watch.regained();
+    take_clock(in, page->now);
+    if (!whole) pass_on_changes(in, it, after, *page);
+    take_answer(state, whole, *page, event_loop::steady());
+    it.take(page->rows, whole);
+    // A store that holds nothing yet has no version to wait behind.
+    auto empty = state.version == 0;
+    co_await pause_for(empty ? instant(retry_pause) : it.gather);
+  }
+}
+
+}  // namespace fulmar::serving
--- a/test/quota-test.cc
+++ b/test/quota-test.cc
@@ -13,7 +13,7 @@
 
 namespace {
 
-quota_question job_of(std::uint64_t tokens) {
+quota_request job_of(std::uint64_t tokens) {
   return {.gate = "a.example r",
           .tokens = tokens,
           .waiting = 0,
@@ -113,10 +113,10 @@
     auto jobs = unordered_jobs();
     for (auto it = 0; it < 100; ++it) {
       // None hears of the others; each knows its own.
-      auto question = job_of(5'000 + it * 500);
-      if (!fits_without_order(jobs, question, 1s)) continue;
-      note_unordered(jobs, question, 1s);
-      accepted += question.tokens;
+      auto request = job_of(5'000 + it * 500);
+      if (!fits_without_order(jobs, request, 1s)) continue;
+      note_unordered(jobs, request, 1s);
+      accepted += request.tokens;
     }
   }
   CHECK(accepted <= 8'400'000 / 2);
