--- a/test/feed-test.cc
+++ b/test/feed-test.cc
@@ -35,7 +35,7 @@
 
 using keys = std::vector<std::string>;
 
-constexpr std::size_t datagram = 16 * 1024;
+constexpr auto datagram = std::size_t{16} * 1024;
 
 }  // namespace
 
