Pages passed on reach their table through its follower

Cause: reading the change once more. take_feed named the two shared tables and repeated what their followers say; the near members that were heard, the least name among members, a gate's name and how a table moves on were each written twice; take_answer was told that an answer is whole, which follows from a table of which nothing was known.

Change: take_feed looks the table up among those that are followed; is_heard_near, has_least_name, gate_name and move_on serve both places each. Behaviour and assertions stay; the test of the feed calls take_answer without the parameter that went.

Sanitizers were not run on it.

--- a/include/fulmarpitch/serving/feed.h
+++ b/include/fulmarpitch/serving/feed.h
@@ -82,12 +82,12 @@
 std::vector<stored_row> take_passed_on(feed_state& state, feed_page page,
                                        instant now);
 
-/// Takes an answer of the store.
+/// Takes an answer of the store: what changed in the table, or all of it when
+/// nothing was known.
 /// \param state how far the table is known; moved on.
-/// \param whole the answer is the table, not what changed in it.
 /// \param page the answer; loses the rows that were known already.
 /// \param now the steady clock.
-void take_answer(feed_state& state, bool whole, row_page& page, instant now);
+void take_answer(feed_state& state, row_page& page, instant now);
 
 /// Splits a page into datagrams. Rows of one version stay together.
 /// \param page the page.
--- a/include/fulmarpitch/serving/jobs.h
+++ b/include/fulmarpitch/serving/jobs.h
@@ -140,6 +140,9 @@
   absl::flat_hash_map<std::string, gate> gates;
 };
 
+/// \return the name of a route's gate in the book.
+std::string gate_name(const std::string& host, const std::string& route);
+
 /// \return the name of the row that orders a route's acceptances.
 row_name gate_row_name(const std::string& host, const std::string& route);
 
--- a/src/serving/discovery.cc
+++ b/src/serving/discovery.cc
@@ -246,27 +246,6 @@
                      .shared = true});
 }
 
-void take_feed(front& in, feed_page page) {
-  if (page.data_centre != in.settings.data_centre) return;
-  auto now = event_loop::steady();
-  if (page.outage_ended) {
-    auto ended = now - *page.outage_ended;
-    in.store_regained = std::max(in.store_regained.value_or(ended), ended);
-  }
-  auto targets = page.table == platform::table::targets;
-  if (!targets && page.table != job_table::jobs) return;
-  auto& state = targets ? in.feeds.targets : in.feeds.jobs;
-  auto table = page.table;
-  auto rows = take_passed_on(state, std::move(page), now);
-  if (state.version > 0 && !state.gap)
-    note_source(in, table, state, feed_source::passed_on);
-  if (targets) {
-    take_targets(in, rows, false);
-  } else {
-    take_jobs(in, rows);
-  }
-}
-
 task<void> find_members(front& in) {
   auto announced = false;
   for (;;) {
--- a/src/serving/feed.cc
+++ b/src/serving/feed.cc
@@ -75,9 +75,13 @@
   return end;
 }
 
-void drop_known(std::vector<stored_row>& rows, std::uint64_t version) {
-  auto known = [&](const auto& it) { return it.version <= version; };
+/// Moves a table on to a version, and drops the rows that were known.
+void move_on(feed_state& state, std::vector<stored_row>& rows,
+             std::uint64_t version, instant now) {
+  auto known = [&](const auto& it) { return it.version <= state.version; };
   rows.erase(std::remove_if(rows.begin(), rows.end(), known), rows.end());
+  state.version = std::max(state.version, version);
+  state.confirmed = now;
 }
 
 }  // namespace
@@ -94,16 +98,12 @@
     state.gap = true;
     return {};
   }
-  drop_known(page.rows, state.version);
-  state.version = std::max(state.version, page.version);
-  state.confirmed = now;
+  move_on(state, page.rows, page.version, now);
   return std::move(page.rows);
 }
 
-void take_answer(feed_state& state, bool whole, row_page& page, instant now) {
-  if (!whole) drop_known(page.rows, state.version);
-  state.version = std::max(state.version, page.version);
-  state.confirmed = now;
+void take_answer(feed_state& state, row_page& page, instant now) {
+  move_on(state, page.rows, page.version, now);
   state.gap = false;
 }
 
--- a/src/serving/front.h
+++ b/src/serving/front.h
@@ -78,6 +78,9 @@
 /// Sends reports to other daemons and receives theirs.
 class report_exchange;
 
+/// How a table of the store is followed.
+struct table_follower;
+
 /// The state of a daemon.
 struct front {
   front(event_loop& event_loop, vm_settings vm);
@@ -103,6 +106,8 @@
     feed_state targets;
     feed_state jobs;
   } feeds;
+  /// The tables that are followed; each lives as long as the process.
+  std::vector<const table_follower*> followed;
   /// When the store's last outage ended, as seen here or by the daemon that
   /// reads for this one; nothing before the first.
   std::optional<instant> store_regained;
--- a/src/serving/job-submission.cc
+++ b/src/serving/job-submission.cc
@@ -80,7 +80,7 @@
 
 quota_request quota_request_of(const front& in, const submission& it) {
   auto now = event_loop::steady();
-  return {.gate = concat(it.job.host, " ", it.job.route),
+  return {.gate = gate_name(it.job.host, it.job.route),
           .tokens = it.tokens,
           .waiting = waiting_tokens(in.book, it.job.host, it.job.route),
           .limit = it.limit,
--- a/src/serving/jobs.cc
+++ b/src/serving/jobs.cc
@@ -30,10 +30,6 @@
       concat("row ", name.table, "/", name.key, " has another form"));
 }
 
-std::string gate_name(const std::string& host, const std::string& route) {
-  return concat(host, " ", route);
-}
-
 bool take_gate(job_book& book, const stored_row& it) {
   auto key = std::string_view(it.name.key);
   if (!key.starts_with(gate_prefix)) return false;
@@ -48,6 +44,10 @@
 
 }  // namespace
 
+std::string gate_name(const std::string& host, const std::string& route) {
+  return concat(host, " ", route);
+}
+
 std::string encode_job(const job_row& it) {
   auto listed = json::array();
   for (auto item : it.listed)
--- a/src/serving/load-board.cc
+++ b/src/serving/load-board.cc
@@ -30,6 +30,17 @@
   return now - it.heard <= board.options.data_centre_expiry;
 }
 
+/// \return whether no live member that `counts` has a lesser name.
+template <typename Counts>
+bool has_least_name(const load_board& board, const std::string& self,
+                    instant now, Counts counts) {
+  return std::none_of(
+      board.members.begin(), board.members.end(), [&](const auto& it) {
+        return it.first < self && is_live(board, it.second, now) &&
+               counts(it.second.report);
+      });
+}
+
 void add_loads(load_table& to, const load_table& from) {
   for (const auto& [target, load] : from) {
     auto& sum = to[target];
@@ -78,20 +89,14 @@
 }
 
 bool gathers(const load_board& board, const std::string& self, instant now) {
-  return std::none_of(
-      board.members.begin(), board.members.end(), [&](const auto& it) {
-        return it.first < self && is_live(board, it.second, now);
-      });
+  return has_least_name(board, self, now, [](const auto&) { return true; });
 }
 
 bool reads_for_others(const load_board& board, const std::string& self,
                       bool store_lost, instant now) {
   if (store_lost) return false;
-  return std::none_of(
-      board.members.begin(), board.members.end(), [&](const auto& it) {
-        return it.first < self && is_live(board, it.second, now) &&
-               !it.second.report.store_lost;
-      });
+  return has_least_name(board, self, now,
+                        [](const auto& it) { return !it.store_lost; });
 }
 
 target_load load_of(const load_board& board, std::uint64_t target,
--- a/src/serving/reports.cc
+++ b/src/serving/reports.cc
@@ -183,12 +183,19 @@
   if (!data_centre.empty()) it->second.data_centre = data_centre;
 }
 
+bool report_exchange::is_near(const peer& it) const {
+  return it.data_centre == front_.settings.data_centre;
+}
+
+bool report_exchange::is_heard_near(const peer& it, instant now) const {
+  return is_near(it) && now - it.heard < options_.silent_after;
+}
+
 void report_exchange::send_feed(const feed_page& page) {
   auto now = event_loop::steady();
   for (const auto& bytes : encode_feed(page, max_datagram)) {
     for (auto& [address, it] : peers_) {
-      auto near = it.data_centre == front_.settings.data_centre;
-      if (near && now - it.heard < options_.silent_after) send(it, bytes);
+      if (is_heard_near(it, now)) send(it, bytes);
     }
   }
 }
@@ -197,7 +204,7 @@
   auto now = event_loop::steady();
   auto bytes = encode_report(own_report(now));
   for (auto& [address, it] : peers_) {
-    if (it.data_centre == front_.settings.data_centre) send(it, bytes);
+    if (is_near(it)) send(it, bytes);
   }
 }
 
@@ -222,8 +229,7 @@
     auto now = event_loop::steady();
     auto bytes = encode_report(own_report(now));
     for (auto& [address, it] : peers_) {
-      auto near = it.data_centre == front_.settings.data_centre;
-      if (!near || now - it.heard >= options_.silent_after) continue;
+      if (!is_heard_near(it, now)) continue;
       it.next_send = now + options_.idle_period;
       send(it, bytes);
     }
@@ -243,7 +249,7 @@
   auto due = std::vector<peer*>();
   auto searched = std::vector<peer*>();
   for (auto& [address, it] : peers_) {
-    auto near = it.data_centre == front_.settings.data_centre;
+    auto near = is_near(it);
     auto silent = now - it.heard > options_.silent_after;
     // Of a data centre that sends summaries, nobody need be searched for.
     auto wanted = near || it.data_centre.empty();
--- a/src/serving/reports.h
+++ b/src/serving/reports.h
@@ -61,6 +61,8 @@
     instant next_send{};
   };
 
+  bool is_near(const peer& it) const;
+  bool is_heard_near(const peer& it, instant now) const;
   task<void> receive();
   task<void> send_on_change();
   task<void> send_on_time();
--- a/src/serving/table-follower.cc
+++ b/src/serving/table-follower.cc
@@ -1,5 +1,6 @@
 #include "table-follower.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "fulmarpitch/core/errors.h"
@@ -60,13 +61,25 @@
   }
 }
 
+/// Logs where a table's changes come from, when that is news.
+void note_source(front& in, const table_follower& it, feed_source source) {
+  auto& state = *it.state;
+  if (std::exchange(state.source, source) == source) return;
+  auto silent = event_loop::steady() - state.confirmed;
+  in.log.add("feed_source",
+             {{"table", it.table},
+              {"source", name_in(feed_source_names, source)},
+              {"version", state.version},
+              {"gap", state.gap},
+              {"confirmed_us_ago", std::int64_t{silent.count()}}});
+}
+
 /// Tells the data centre what changed, if this daemon reads for it.
 void pass_on_changes(front& in, const table_follower& it, std::uint64_t after,
                      const row_page& page) {
   if (!it.shared) return;
   auto reads = reads_for_others(in);
-  note_source(in, it.table, *it.state,
-              reads ? feed_source::for_all : feed_source::for_itself);
+  note_source(in, it, reads ? feed_source::for_all : feed_source::for_itself);
   if (!reads) return;
   auto out = feed_page{.data_centre = in.settings.data_centre,
                        .table = it.table,
@@ -80,21 +93,10 @@
 
 }  // namespace
 
-void note_source(front& in, std::string_view table, feed_state& state,
-                 feed_source source) {
-  if (std::exchange(state.source, source) == source) return;
-  auto silent = event_loop::steady() - state.confirmed;
-  in.log.add("feed_source",
-             {{"table", table},
-              {"source", name_in(feed_source_names, source)},
-              {"version", state.version},
-              {"gap", state.gap},
-              {"confirmed_us_ago", std::int64_t{silent.count()}}});
-}
-
 task<void> follow(front& in, table_follower it) {
   auto watch = dependency_watch(in, it.what);
   auto& state = *it.state;
+  in.followed.push_back(&it);
   for (;;) {
     co_await wait_for_turn(in, it, watch);
     auto after = state.version;
@@ -114,7 +116,7 @@
     watch.regained();
     take_clock(in, page->now);
     if (!whole) pass_on_changes(in, it, after, *page);
-    take_answer(state, whole, *page, event_loop::steady());
+    take_answer(state, *page, event_loop::steady());
     it.take(page->rows, whole);
     // A store that holds nothing yet has no version to wait behind.
     auto empty = state.version == 0;
@@ -122,4 +124,20 @@
   }
 }
 
+void take_feed(front& in, feed_page page) {
+  if (page.data_centre != in.settings.data_centre) return;
+  auto now = event_loop::steady();
+  if (page.outage_ended) {
+    auto ended = now - *page.outage_ended;
+    in.store_regained = std::max(in.store_regained.value_or(ended), ended);
+  }
+  for (const auto* it : in.followed) {
+    if (!it->shared || it->table != page.table) continue;
+    auto rows = take_passed_on(*it->state, std::move(page), now);
+    auto known = it->state->version > 0 && !it->state->gap;
+    if (known) note_source(in, *it, feed_source::passed_on);
+    return it->take(rows, false);
+  }
+}
+
 }  // namespace fulmar::serving
--- a/src/serving/table-follower.h
+++ b/src/serving/table-follower.h
@@ -41,8 +41,4 @@
 /// \param it how the table is followed.
 task<void> follow(front& in, table_follower it);
 
-/// Logs where a table's changes come from, when that is news.
-void note_source(front& in, std::string_view table, feed_state& state,
-                 feed_source source);
-
 }  // namespace fulmar::serving
--- a/test/feed-test.cc
+++ b/test/feed-test.cc
@@ -71,7 +71,7 @@
   CHECK(must_read(state, false, 1s));
 
   auto answer = row_page{.rows = {row("x", 13), row("y", 14)}, .version = 14};
-  take_answer(state, false, answer, 2s);
+  take_answer(state, answer, 2s);
   CHECK(keys_of(answer.rows) == keys{"x", "y"});
   CHECK_FALSE(must_read(state, false, 2s));
 }
@@ -80,7 +80,7 @@
   auto state = feed_state{.version = 10, .confirmed = 1s};
   take_passed_on(state, page(10, 12, {row("x", 12)}), 1s);
   auto answer = row_page{.rows = {row("w", 11), row("x", 12)}, .version = 12};
-  take_answer(state, false, answer, 1s);
+  take_answer(state, answer, 1s);
   CHECK(answer.rows.empty());
   CHECK(state.version == 12);
 }
