Pass summaries on once, as datagrams of their own

Cause: a member that got another data centre's summary at first hand put it, with the names and addresses of its members, into each report until a newer summary came. With 49 members and 27 targets a report of 360 bytes grew to 4,312 with one summary and to 19,952 with five; datagrams over 16 KB are cut off on arrival and lost as a whole. Each change of a load sent such a report to 51 members on links of 30 Mbit/s.

Ruled out: the sender's tick of 50 ms and the limit of 1 s, which 12 members meet; a socket's buffer would lose reports of all members alike.

Change: a summary is a datagram of its own, sent on once by who got it from afar. One in four names the members. Loads are structs of 16 bytes on the wire. report-wire.h holds the formats.

Test: report-wire-test; with 100 members and 60 targets every datagram fits.

--- a/include/fulmarpitch/serving/load-board.h
+++ b/include/fulmarpitch/serving/load-board.h
@@ -44,6 +44,8 @@
   /// Wall-clock time of the gathering; the newest counts.
   instant gathered{};
   load_table loads;
+  /// Most summaries leave the members out, as these change rarely.
+  bool names_members = true;
   std::vector<summary_member> members;
 };
 
@@ -69,9 +71,6 @@
   std::vector<std::string> known;
   /// The sender searches for others and wants a report in return.
   bool wants_reply = false;
-  /// Summaries of other data centres that reached the sender directly, or of
-  /// its own when the receiver is elsewhere.
-  std::vector<load_summary> summaries;
 };
 
 /// The last report of another daemon.
@@ -86,8 +85,6 @@
   load_summary summary;
   /// When it arrived, on the steady clock.
   instant heard{};
-  /// It came from its own data centre, not from a member of this one.
-  bool direct = false;
 };
 
 /// Bounds of what counts as alive.
@@ -127,11 +124,10 @@
 
 /// Takes a summary of another data centre, unless a newer one is known.
 /// \param board the board.
-/// \param it the summary.
-/// \param direct whether it came from its own data centre.
+/// \param it the summary; keeps the known members when it names none.
 /// \param now the steady clock.
 /// \return whether the summary was new.
-bool take_summary(load_board& board, load_summary it, bool direct, instant now);
+bool take_summary(load_board& board, load_summary it, instant now);
 
 /// \return what other members hold against a target.
 target_doubt doubt_of(const load_board& board, std::uint64_t target,
--- a/include/fulmarpitch/serving/load_generated.h
+++ b/include/fulmarpitch/serving/load_generated.h
@@ -18,8 +18,6 @@
 namespace wire {
 
 struct target_load;
-struct target_loadBuilder;
-struct target_loadT;
 
 struct member;
 struct memberBuilder;
@@ -29,87 +27,43 @@
 struct doubtBuilder;
 struct doubtT;
 
-struct summary;
-struct summaryBuilder;
-struct summaryT;
-
 struct load_report;
 struct load_reportBuilder;
 struct load_reportT;
 
-struct target_loadT : public flatbuffers::NativeTable {
-  typedef target_load TableType;
-  uint64_t target = 0;
-  uint16_t online = 0;
-  uint16_t batch = 0;
-};
-
-struct target_load FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef target_loadT NativeTableType;
-  typedef target_loadBuilder Builder;
-  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_TARGET = 4,
-    VT_ONLINE = 6,
-    VT_BATCH = 8
-  };
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) target_load FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t target_;
+  uint16_t online_;
+  uint16_t batch_;
+  int32_t padding0__;
+
+ public:
+  target_load()
+      : target_(0),
+        online_(0),
+        batch_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  target_load(uint64_t _target, uint16_t _online, uint16_t _batch)
+      : target_(flatbuffers::EndianScalar(_target)),
+        online_(flatbuffers::EndianScalar(_online)),
+        batch_(flatbuffers::EndianScalar(_batch)),
+        padding0__(0) {
+    (void)padding0__;
+  }
   uint64_t target() const {
-    return GetField<uint64_t>(VT_TARGET, 0);
+    return flatbuffers::EndianScalar(target_);
   }
   uint16_t online() const {
-    return GetField<uint16_t>(VT_ONLINE, 0);
+    return flatbuffers::EndianScalar(online_);
   }
   uint16_t batch() const {
-    return GetField<uint16_t>(VT_BATCH, 0);
-  }
-  bool Verify(flatbuffers::Verifier &verifier) const {
-    return VerifyTableStart(verifier) &&
-           VerifyField<uint64_t>(verifier, VT_TARGET, 8) &&
-           VerifyField<uint16_t>(verifier, VT_ONLINE, 2) &&
-           VerifyField<uint16_t>(verifier, VT_BATCH, 2) &&
-           verifier.EndTable();
-  }
-  target_loadT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(target_loadT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<target_load> Pack(flatbuffers::FlatBufferBuilder &_fbb, const target_loadT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
-};
-
-struct target_loadBuilder {
-  typedef target_load Table;
-  flatbuffers::FlatBufferBuilder &fbb_;
-  flatbuffers::uoffset_t start_;
-  void add_target(uint64_t target) {
-    fbb_.AddElement<uint64_t>(target_load::VT_TARGET, target, 0);
-  }
-  void add_online(uint16_t online) {
-    fbb_.AddElement<uint16_t>(target_load::VT_ONLINE, online, 0);
-  }
-  void add_batch(uint16_t batch) {
-    fbb_.AddElement<uint16_t>(target_load::VT_BATCH, batch, 0);
-  }
-  explicit target_loadBuilder(flatbuffers::FlatBufferBuilder &_fbb)
-        : fbb_(_fbb) {
-    start_ = fbb_.StartTable();
-  }
-  flatbuffers::Offset<target_load> Finish() {
-    const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<target_load>(end);
-    return o;
+    return flatbuffers::EndianScalar(batch_);
   }
 };
-
-inline flatbuffers::Offset<target_load> Createtarget_load(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t target = 0,
-    uint16_t online = 0,
-    uint16_t batch = 0) {
-  target_loadBuilder builder_(_fbb);
-  builder_.add_target(target);
-  builder_.add_batch(batch);
-  builder_.add_online(online);
-  return builder_.Finish();
-}
-
-flatbuffers::Offset<target_load> Createtarget_load(flatbuffers::FlatBufferBuilder &_fbb, const target_loadT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+FLATBUFFERS_STRUCT_END(target_load, 16);
 
 struct memberT : public flatbuffers::NativeTable {
   typedef member TableType;
@@ -299,117 +253,6 @@
 
 flatbuffers::Offset<doubt> Createdoubt(flatbuffers::FlatBufferBuilder &_fbb, const doubtT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct summaryT : public flatbuffers::NativeTable {
-  typedef summary TableType;
-  std::string data_centre{};
-  int64_t gathered = 0;
-  std::vector<std::unique_ptr<fulmar::serving::wire::target_loadT>> loads{};
-  std::vector<std::unique_ptr<fulmar::serving::wire::memberT>> members{};
-  summaryT() = default;
-  summaryT(const summaryT &o);
-  summaryT(summaryT&&) FLATBUFFERS_NOEXCEPT = default;
-  summaryT &operator=(summaryT o) FLATBUFFERS_NOEXCEPT;
-};
-
-struct summary FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef summaryT NativeTableType;
-  typedef summaryBuilder Builder;
-  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_DATA_CENTRE = 4,
-    VT_GATHERED = 6,
-    VT_LOADS = 8,
-    VT_MEMBERS = 10
-  };
-  const flatbuffers::String *data_centre() const {
-    return GetPointer<const flatbuffers::String *>(VT_DATA_CENTRE);
-  }
-  int64_t gathered() const {
-    return GetField<int64_t>(VT_GATHERED, 0);
-  }
-  const flatbuffers::Vector<flatbuffers::Offset<fulmar::serving::wire::target_load>> *loads() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<fulmar::serving::wire::target_load>> *>(VT_LOADS);
-  }
-  const flatbuffers::Vector<flatbuffers::Offset<fulmar::serving::wire::member>> *members() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<fulmar::serving::wire::member>> *>(VT_MEMBERS);
-  }
-  bool Verify(flatbuffers::Verifier &verifier) const {
-    return VerifyTableStart(verifier) &&
-           VerifyOffset(verifier, VT_DATA_CENTRE) &&
-           verifier.VerifyString(data_centre()) &&
-           VerifyField<int64_t>(verifier, VT_GATHERED, 8) &&
-           VerifyOffset(verifier, VT_LOADS) &&
-           verifier.VerifyVector(loads()) &&
-           verifier.VerifyVectorOfTables(loads()) &&
-           VerifyOffset(verifier, VT_MEMBERS) &&
-           verifier.VerifyVector(members()) &&
-           verifier.VerifyVectorOfTables(members()) &&
-           verifier.EndTable();
-  }
-  summaryT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(summaryT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<summary> Pack(flatbuffers::FlatBufferBuilder &_fbb, const summaryT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
-};
-
-struct summaryBuilder {
-  typedef summary Table;
-  flatbuffers::FlatBufferBuilder &fbb_;
-  flatbuffers::uoffset_t start_;
-  void add_data_centre(flatbuffers::Offset<flatbuffers::String> data_centre) {
-    fbb_.AddOffset(summary::VT_DATA_CENTRE, data_centre);
-  }
-  void add_gathered(int64_t gathered) {
-    fbb_.AddElement<int64_t>(summary::VT_GATHERED, gathered, 0);
-  }
-  void add_loads(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fulmar::serving::wire::target_load>>> loads) {
-    fbb_.AddOffset(summary::VT_LOADS, loads);
-  }
-  void add_members(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fulmar::serving::wire::member>>> members) {
-    fbb_.AddOffset(summary::VT_MEMBERS, members);
-  }
-  explicit summaryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
-        : fbb_(_fbb) {
-    start_ = fbb_.StartTable();
-  }
-  flatbuffers::Offset<summary> Finish() {
-    const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<summary>(end);
-    return o;
-  }
-};
-
-inline flatbuffers::Offset<summary> Createsummary(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::String> data_centre = 0,
-    int64_t gathered = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fulmar::serving::wire::target_load>>> loads = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fulmar::serving::wire::member>>> members = 0) {
-  summaryBuilder builder_(_fbb);
-  builder_.add_gathered(gathered);
-  builder_.add_members(members);
-  builder_.add_loads(loads);
-  builder_.add_data_centre(data_centre);
-  return builder_.Finish();
-}
-
-inline flatbuffers::Offset<summary> CreatesummaryDirect(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    const char *data_centre = nullptr,
-    int64_t gathered = 0,
-    const std::vector<flatbuffers::Offset<fulmar::serving::wire::target_load>> *loads = nullptr,
-    const std::vector<flatbuffers::Offset<fulmar::serving::wire::member>> *members = nullptr) {
-  auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
-  auto loads__ = loads ? _fbb.CreateVector<flatbuffers::Offset<fulmar::serving::wire::target_load>>(*loads) : 0;
-  auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<fulmar::serving::wire::member>>(*members) : 0;
-  return fulmar::serving::wire::Createsummary(
-      _fbb,
-      data_centre__,
-      gathered,
-      loads__,
-      members__);
-}
-
-flatbuffers::Offset<summary> Createsummary(flatbuffers::FlatBufferBuilder &_fbb, const summaryT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
-
 struct load_reportT : public flatbuffers::NativeTable {
   typedef load_report TableType;
   std::string name{};
@@ -418,12 +261,11 @@
   uint64_t incarnation = 0;
   uint64_t sequence = 0;
   bool leaving = false;
-  std::vector<std::unique_ptr<fulmar::serving::wire::target_loadT>> loads{};
-  std::vector<std::string> known{};
-  bool wants_reply = false;
-  std::vector<std::unique_ptr<fulmar::serving::wire::summaryT>> summaries{};
   bool store_lost = false;
+  bool wants_reply = false;
+  std::vector<fulmar::serving::wire::target_load> loads{};
   std::vector<std::unique_ptr<fulmar::serving::wire::doubtT>> doubts{};
+  std::vector<std::string> known{};
   load_reportT() = default;
   load_reportT(const load_reportT &o);
   load_reportT(load_reportT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -440,12 +282,11 @@
     VT_INCARNATION = 10,
     VT_SEQUENCE = 12,
     VT_LEAVING = 14,
-    VT_LOADS = 16,
-    VT_KNOWN = 18,
-    VT_WANTS_REPLY = 20,
-    VT_SUMMARIES = 22,
-    VT_STORE_LOST = 24,
-    VT_DOUBTS = 26
+    VT_STORE_LOST = 16,
+    VT_WANTS_REPLY = 18,
+    VT_LOADS = 20,
+    VT_DOUBTS = 22,
+    VT_KNOWN = 24
   };
   const flatbuffers::String *name() const {
     return GetPointer<const flatbuffers::String *>(VT_NAME);
@@ -465,24 +306,21 @@
   bool leaving() const {
     return GetField<uint8_t>(VT_LEAVING, 0) != 0;
   }
-  const flatbuffers::Vector<flatbuffers::Offset<fulmar::serving::wire::target_load>> *loads() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<fulmar::serving::wire::target_load>> *>(VT_LOADS);
-  }
-  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *known() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_KNOWN);
+  bool store_lost() const {
+    return GetField<uint8_t>(VT_STORE_LOST, 0) != 0;
   }
   bool wants_reply() const {
     return GetField<uint8_t>(VT_WANTS_REPLY, 0) != 0;
   }
-  const flatbuffers::Vector<flatbuffers::Offset<fulmar::serving::wire::summary>> *summaries() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<fulmar::serving::wire::summary>> *>(VT_SUMMARIES);
-  }
-  bool store_lost() const {
-    return GetField<uint8_t>(VT_STORE_LOST, 0) != 0;
+  const flatbuffers::Vector<const fulmar::serving::wire::target_load *> *loads() const {
+    return GetPointer<const flatbuffers::Vector<const fulmar::serving::wire::target_load *> *>(VT_LOADS);
   }
   const flatbuffers::Vector<flatbuffers::Offset<fulmar::serving::wire::doubt>> *doubts() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<fulmar::serving::wire::doubt>> *>(VT_DOUBTS);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *known() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_KNOWN);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NAME) &&
@@ -494,20 +332,16 @@
            VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
            VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
+           VerifyField<uint8_t>(verifier, VT_STORE_LOST, 1) &&
+           VerifyField<uint8_t>(verifier, VT_WANTS_REPLY, 1) &&
            VerifyOffset(verifier, VT_LOADS) &&
            verifier.VerifyVector(loads()) &&
-           verifier.VerifyVectorOfTables(loads()) &&
-           VerifyOffset(verifier, VT_KNOWN) &&
-           verifier.VerifyVector(known()) &&
-           verifier.VerifyVectorOfStrings(known()) &&
-           VerifyField<uint8_t>(verifier, VT_WANTS_REPLY, 1) &&
-           VerifyOffset(verifier, VT_SUMMARIES) &&
-           verifier.VerifyVector(summaries()) &&
-           verifier.VerifyVectorOfTables(summaries()) &&
-           VerifyField<uint8_t>(verifier, VT_STORE_LOST, 1) &&
            VerifyOffset(verifier, VT_DOUBTS) &&
            verifier.VerifyVector(doubts()) &&
            verifier.VerifyVectorOfTables(doubts()) &&
+           VerifyOffset(verifier, VT_KNOWN) &&
+           verifier.VerifyVector(known()) &&
+           verifier.VerifyVectorOfStrings(known()) &&
            verifier.EndTable();
   }
   load_reportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -537,24 +371,21 @@
   void add_leaving(bool leaving) {
     fbb_.AddElement<uint8_t>(load_report::VT_LEAVING, static_cast<uint8_t>(leaving), 0);
   }
-  void add_loads(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fulmar::serving::wire::target_load>>> loads) {
-    fbb_.AddOffset(load_report::VT_LOADS, loads);
-  }
-  void add_known(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> known) {
-    fbb_.AddOffset(load_report::VT_KNOWN, known);
+  void add_store_lost(bool store_lost) {
+    fbb_.AddElement<uint8_t>(load_report::VT_STORE_LOST, static_cast<uint8_t>(store_lost), 0);
   }
   void add_wants_reply(bool wants_reply) {
     fbb_.AddElement<uint8_t>(load_report::VT_WANTS_REPLY, static_cast<uint8_t>(wants_reply), 0);
   }
-  void add_summaries(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fulmar::serving::wire::summary>>> summaries) {
-    fbb_.AddOffset(load_report::VT_SUMMARIES, summaries);
-  }
-  void add_store_lost(bool store_lost) {
-    fbb_.AddElement<uint8_t>(load_report::VT_STORE_LOST, static_cast<uint8_t>(store_lost), 0);
+  void add_loads(flatbuffers::Offset<flatbuffers::Vector<const fulmar::serving::wire::target_load *>> loads) {
+    fbb_.AddOffset(load_report::VT_LOADS, loads);
   }
   void add_doubts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fulmar::serving::wire::doubt>>> doubts) {
     fbb_.AddOffset(load_report::VT_DOUBTS, doubts);
   }
+  void add_known(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> known) {
+    fbb_.AddOffset(load_report::VT_KNOWN, known);
+  }
   explicit load_reportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -574,24 +405,22 @@
     uint64_t incarnation = 0,
     uint64_t sequence = 0,
     bool leaving = false,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fulmar::serving::wire::target_load>>> loads = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> known = 0,
-    bool wants_reply = false,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fulmar::serving::wire::summary>>> summaries = 0,
     bool store_lost = false,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fulmar::serving::wire::doubt>>> doubts = 0) {
+    bool wants_reply = false,
+    flatbuffers::Offset<flatbuffers::Vector<const fulmar::serving::wire::target_load *>> loads = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fulmar::serving::wire::doubt>>> doubts = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> known = 0) {
   load_reportBuilder builder_(_fbb);
   builder_.add_sequence(sequence);
   builder_.add_incarnation(incarnation);
-  builder_.add_doubts(doubts);
-  builder_.add_summaries(summaries);
   builder_.add_known(known);
+  builder_.add_doubts(doubts);
   builder_.add_loads(loads);
   builder_.add_address(address);
   builder_.add_data_centre(data_centre);
   builder_.add_name(name);
-  builder_.add_store_lost(store_lost);
   builder_.add_wants_reply(wants_reply);
+  builder_.add_store_lost(store_lost);
   builder_.add_leaving(leaving);
   return builder_.Finish();
 }
@@ -604,19 +433,17 @@
     uint64_t incarnation = 0,
     uint64_t sequence = 0,
     bool leaving = false,
-    const std::vector<flatbuffers::Offset<fulmar::serving::wire::target_load>> *loads = nullptr,
-    const std::vector<flatbuffers::Offset<flatbuffers::String>> *known = nullptr,
-    bool wants_reply = false,
-    const std::vector<flatbuffers::Offset<fulmar::serving::wire::summary>> *summaries = nullptr,
     bool store_lost = false,
-    const std::vector<flatbuffers::Offset<fulmar::serving::wire::doubt>> *doubts = nullptr) {
+    bool wants_reply = false,
+    const std::vector<fulmar::serving::wire::target_load> *loads = nullptr,
+    const std::vector<flatbuffers::Offset<fulmar::serving::wire::doubt>> *doubts = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *known = nullptr) {
   auto name__ = name ? _fbb.CreateString(name) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
-  auto loads__ = loads ? _fbb.CreateVector<flatbuffers::Offset<fulmar::serving::wire::target_load>>(*loads) : 0;
-  auto known__ = known ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*known) : 0;
-  auto summaries__ = summaries ? _fbb.CreateVector<flatbuffers::Offset<fulmar::serving::wire::summary>>(*summaries) : 0;
+  auto loads__ = loads ? _fbb.CreateVectorOfStructs<fulmar::serving::wire::target_load>(*loads) : 0;
   auto doubts__ = doubts ? _fbb.CreateVector<flatbuffers::Offset<fulmar::serving::wire::doubt>>(*doubts) : 0;
+  auto known__ = known ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*known) : 0;
   return fulmar::serving::wire::Createload_report(
       _fbb,
       name__,
@@ -625,48 +452,15 @@
       incarnation,
       sequence,
       leaving,
-      loads__,
-      known__,
-      wants_reply,
-      summaries__,
       store_lost,
-      doubts__);
+      wants_reply,
+      loads__,
+      doubts__,
+      known__);
 }
 
 flatbuffers::Offset<load_report> Createload_report(flatbuffers::FlatBufferBuilder &_fbb, const load_reportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-inline target_loadT *target_load::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::unique_ptr<target_loadT>(new target_loadT());
-  UnPackTo(_o.get(), _resolver);
-  return _o.release();
-}
-
-inline void target_load::UnPackTo(target_loadT *_o, const flatbuffers::resolver_function_t *_resolver) const {
-  (void)_o;
-  (void)_resolver;
-  { auto _e = target(); _o->target = _e; }
-  { auto _e = online(); _o->online = _e; }
-  { auto _e = batch(); _o->batch = _e; }
-}
-
-inline flatbuffers::Offset<target_load> target_load::Pack(flatbuffers::FlatBufferBuilder &_fbb, const target_loadT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return Createtarget_load(_fbb, _o, _rehasher);
-}
-
-inline flatbuffers::Offset<target_load> Createtarget_load(flatbuffers::FlatBufferBuilder &_fbb, const target_loadT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
-  (void)_rehasher;
-  (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const target_loadT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _target = _o->target;
-  auto _online = _o->online;
-  auto _batch = _o->batch;
-  return fulmar::serving::wire::Createtarget_load(
-      _fbb,
-      _target,
-      _online,
-      _batch);
-}
-
 inline memberT *member::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::unique_ptr<memberT>(new memberT());
   UnPackTo(_o.get(), _resolver);
@@ -737,58 +531,6 @@
       _score);
 }
 
-inline summaryT::summaryT(const summaryT &o)
-      : data_centre(o.data_centre),
-        gathered(o.gathered) {
-  loads.reserve(o.loads.size());
-  for (const auto &loads_ : o.loads) { loads.emplace_back((loads_) ? new fulmar::serving::wire::target_loadT(*loads_) : nullptr); }
-  members.reserve(o.members.size());
-  for (const auto &members_ : o.members) { members.emplace_back((members_) ? new fulmar::serving::wire::memberT(*members_) : nullptr); }
-}
-
-inline summaryT &summaryT::operator=(summaryT o) FLATBUFFERS_NOEXCEPT {
-  std::swap(data_centre, o.data_centre);
-  std::swap(gathered, o.gathered);
-  std::swap(loads, o.loads);
-  std::swap(members, o.members);
-  return *this;
-}
-
-inline summaryT *summary::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::unique_ptr<summaryT>(new summaryT());
-  UnPackTo(_o.get(), _resolver);
-  return _o.release();
-}
-
-inline void summary::UnPackTo(summaryT *_o, const flatbuffers::resolver_function_t *_resolver) const {
-  (void)_o;
-  (void)_resolver;
-  { auto _e = data_centre(); if (_e) _o->data_centre = _e->str(); }
-  { auto _e = gathered(); _o->gathered = _e; }
-  { auto _e = loads(); if (_e) { _o->loads.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->loads[_i] = std::unique_ptr<fulmar::serving::wire::target_loadT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = members(); if (_e) { _o->members.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->members[_i] = std::unique_ptr<fulmar::serving::wire::memberT>(_e->Get(_i)->UnPack(_resolver)); } } }
-}
-
-inline flatbuffers::Offset<summary> summary::Pack(flatbuffers::FlatBufferBuilder &_fbb, const summaryT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return Createsummary(_fbb, _o, _rehasher);
-}
-
-inline flatbuffers::Offset<summary> Createsummary(flatbuffers::FlatBufferBuilder &_fbb, const summaryT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
-  (void)_rehasher;
-  (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const summaryT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _data_centre = _o->data_centre.empty() ? 0 : _fbb.CreateString(_o->data_centre);
-  auto _gathered = _o->gathered;
-  auto _loads = _o->loads.size() ? _fbb.CreateVector<flatbuffers::Offset<fulmar::serving::wire::target_load>> (_o->loads.size(), [](size_t i, _VectorArgs *__va) { return Createtarget_load(*__va->__fbb, __va->__o->loads[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _members = _o->members.size() ? _fbb.CreateVector<flatbuffers::Offset<fulmar::serving::wire::member>> (_o->members.size(), [](size_t i, _VectorArgs *__va) { return Createmember(*__va->__fbb, __va->__o->members[i].get(), __va->__rehasher); }, &_va ) : 0;
-  return fulmar::serving::wire::Createsummary(
-      _fbb,
-      _data_centre,
-      _gathered,
-      _loads,
-      _members);
-}
-
 inline load_reportT::load_reportT(const load_reportT &o)
       : name(o.name),
         data_centre(o.data_centre),
@@ -796,13 +538,10 @@
         incarnation(o.incarnation),
         sequence(o.sequence),
         leaving(o.leaving),
-        known(o.known),
+        store_lost(o.store_lost),
         wants_reply(o.wants_reply),
-        store_lost(o.store_lost) {
-  loads.reserve(o.loads.size());
-  for (const auto &loads_ : o.loads) { loads.emplace_back((loads_) ? new fulmar::serving::wire::target_loadT(*loads_) : nullptr); }
-  summaries.reserve(o.summaries.size());
-  for (const auto &summaries_ : o.summaries) { summaries.emplace_back((summaries_) ? new fulmar::serving::wire::summaryT(*summaries_) : nullptr); }
+        loads(o.loads),
+        known(o.known) {
   doubts.reserve(o.doubts.size());
   for (const auto &doubts_ : o.doubts) { doubts.emplace_back((doubts_) ? new fulmar::serving::wire::doubtT(*doubts_) : nullptr); }
 }
@@ -814,12 +553,11 @@
   std::swap(incarnation, o.incarnation);
   std::swap(sequence, o.sequence);
   std::swap(leaving, o.leaving);
-  std::swap(loads, o.loads);
-  std::swap(known, o.known);
-  std::swap(wants_reply, o.wants_reply);
-  std::swap(summaries, o.summaries);
   std::swap(store_lost, o.store_lost);
+  std::swap(wants_reply, o.wants_reply);
+  std::swap(loads, o.loads);
   std::swap(doubts, o.doubts);
+  std::swap(known, o.known);
   return *this;
 }
 
@@ -838,12 +576,11 @@
   { auto _e = incarnation(); _o->incarnation = _e; }
   { auto _e = sequence(); _o->sequence = _e; }
   { auto _e = leaving(); _o->leaving = _e; }
-  { auto _e = loads(); if (_e) { _o->loads.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->loads[_i] = std::unique_ptr<fulmar::serving::wire::target_loadT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = known(); if (_e) { _o->known.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->known[_i] = _e->Get(_i)->str(); } } }
-  { auto _e = wants_reply(); _o->wants_reply = _e; }
-  { auto _e = summaries(); if (_e) { _o->summaries.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->summaries[_i] = std::unique_ptr<fulmar::serving::wire::summaryT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = store_lost(); _o->store_lost = _e; }
+  { auto _e = wants_reply(); _o->wants_reply = _e; }
+  { auto _e = loads(); if (_e) { _o->loads.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->loads[_i] = *_e->Get(_i); } } }
   { auto _e = doubts(); if (_e) { _o->doubts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->doubts[_i] = std::unique_ptr<fulmar::serving::wire::doubtT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = known(); if (_e) { _o->known.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->known[_i] = _e->Get(_i)->str(); } } }
 }
 
 inline flatbuffers::Offset<load_report> load_report::Pack(flatbuffers::FlatBufferBuilder &_fbb, const load_reportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -860,12 +597,11 @@
   auto _incarnation = _o->incarnation;
   auto _sequence = _o->sequence;
   auto _leaving = _o->leaving;
-  auto _loads = _o->loads.size() ? _fbb.CreateVector<flatbuffers::Offset<fulmar::serving::wire::target_load>> (_o->loads.size(), [](size_t i, _VectorArgs *__va) { return Createtarget_load(*__va->__fbb, __va->__o->loads[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _known = _o->known.size() ? _fbb.CreateVectorOfStrings(_o->known) : 0;
-  auto _wants_reply = _o->wants_reply;
-  auto _summaries = _o->summaries.size() ? _fbb.CreateVector<flatbuffers::Offset<fulmar::serving::wire::summary>> (_o->summaries.size(), [](size_t i, _VectorArgs *__va) { return Createsummary(*__va->__fbb, __va->__o->summaries[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _store_lost = _o->store_lost;
+  auto _wants_reply = _o->wants_reply;
+  auto _loads = _o->loads.size() ? _fbb.CreateVectorOfStructs(_o->loads) : 0;
   auto _doubts = _o->doubts.size() ? _fbb.CreateVector<flatbuffers::Offset<fulmar::serving::wire::doubt>> (_o->doubts.size(), [](size_t i, _VectorArgs *__va) { return Createdoubt(*__va->__fbb, __va->__o->doubts[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _known = _o->known.size() ? _fbb.CreateVectorOfStrings(_o->known) : 0;
   return fulmar::serving::wire::Createload_report(
       _fbb,
       _name,
@@ -874,12 +610,11 @@
       _incarnation,
       _sequence,
       _leaving,
-      _loads,
-      _known,
-      _wants_reply,
-      _summaries,
       _store_lost,
-      _doubts);
+      _wants_reply,
+      _loads,
+      _doubts,
+      _known);
 }
 
 inline const fulmar::serving::wire::load_report *Getload_report(const void *buf) {
@@ -890,26 +625,40 @@
   return flatbuffers::GetSizePrefixedRoot<fulmar::serving::wire::load_report>(buf);
 }
 
+inline const char *load_reportIdentifier() {
+  return "LOAD";
+}
+
+inline bool load_reportBufferHasIdentifier(const void *buf) {
+  return flatbuffers::BufferHasIdentifier(
+      buf, load_reportIdentifier());
+}
+
+inline bool SizePrefixedload_reportBufferHasIdentifier(const void *buf) {
+  return flatbuffers::BufferHasIdentifier(
+      buf, load_reportIdentifier(), true);
+}
+
 inline bool Verifyload_reportBuffer(
     flatbuffers::Verifier &verifier) {
-  return verifier.VerifyBuffer<fulmar::serving::wire::load_report>(nullptr);
+  return verifier.VerifyBuffer<fulmar::serving::wire::load_report>(load_reportIdentifier());
 }
 
 inline bool VerifySizePrefixedload_reportBuffer(
     flatbuffers::Verifier &verifier) {
-  return verifier.VerifySizePrefixedBuffer<fulmar::serving::wire::load_report>(nullptr);
+  return verifier.VerifySizePrefixedBuffer<fulmar::serving::wire::load_report>(load_reportIdentifier());
 }
 
 inline void Finishload_reportBuffer(
     flatbuffers::FlatBufferBuilder &fbb,
     flatbuffers::Offset<fulmar::serving::wire::load_report> root) {
-  fbb.Finish(root);
+  fbb.Finish(root, load_reportIdentifier());
 }
 
 inline void FinishSizePrefixedload_reportBuffer(
     flatbuffers::FlatBufferBuilder &fbb,
     flatbuffers::Offset<fulmar::serving::wire::load_report> root) {
-  fbb.FinishSizePrefixed(root);
+  fbb.FinishSizePrefixed(root, load_reportIdentifier());
 }
 
 inline std::unique_ptr<fulmar::serving::wire::load_reportT> UnPackload_report(
--- a/src/serving/load-board.cc
+++ b/src/serving/load-board.cc
@@ -63,13 +63,13 @@
   return true;
 }
 
-bool take_summary(load_board& board, load_summary it, bool direct,
-                  instant now) {
+bool take_summary(load_board& board, load_summary it, instant now) {
   if (it.data_centre.empty() || it.data_centre == board.data_centre)
     return false;
   auto& row = board.summaries[it.data_centre];
   if (it.gathered <= row.summary.gathered) return false;
-  row = {.summary = std::move(it), .heard = now, .direct = direct};
+  if (!it.names_members) it.members = std::move(row.summary.members);
+  row = {.summary = std::move(it), .heard = now};
   return true;
 }
 
--- /dev/null
+++ b/src/serving/report-wire.cc
@@ -0,0 +1,174 @@
+#include "fulmarpitch/serving/report-wire.h"
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+#include "fulmarpitch/serving/load_generated.h"
+#include "fulmarpitch/serving/summary_generated.h"
+
+namespace fulmar::serving {
+namespace {
+
+std::vector<wire::target_load> encode_loads(const load_table& from) {
+  auto out = std::vector<wire::target_load>();
+  out.reserve(from.size());
+  for (const auto& [target, load] : from) {
+    out.emplace_back(target, static_cast<std::uint16_t>(load.online),
+                     static_cast<std::uint16_t>(load.batch));
+  }
+  return out;
+}
+
+load_table decode_loads(const std::vector<wire::target_load>& from) {
+  auto out = load_table();
+  for (const auto& it : from)
+    out[it.target()] = {.online = it.online(), .batch = it.batch()};
+  return out;
+}
+
+std::uint32_t milliseconds(instant it) {
+  auto n = std::chrono::duration_cast<std::chrono::milliseconds>(it).count();
+  return static_cast<std::uint32_t>(std::max<std::int64_t>(n, 0));
+}
+
+void encode_doubts(const load_report& from, wire::load_reportT& to) {
+  for (const auto& [target, it] : from.doubts) {
+    auto row = std::make_unique<wire::doubtT>();
+    row->target = target;
+    row->avoid_ms = milliseconds(it.avoid_until);
+    row->trial_ms = milliseconds(it.trial_until);
+    row->score = static_cast<float>(it.score);
+    to.doubts.push_back(std::move(row));
+  }
+}
+
+void decode_doubts(const wire::load_reportT& from, load_report& to) {
+  for (const auto& it : from.doubts) {
+    if (it == nullptr) continue;
+    to.doubts[it->target] = {
+        .avoid_until = std::chrono::milliseconds(it->avoid_ms),
+        .trial_until = std::chrono::milliseconds(it->trial_ms),
+        .score = it->score};
+  }
+}
+
+void encode_members(const load_summary& from, wire::load_summaryT& to) {
+  to.names_members = from.names_members;
+  if (!from.names_members) return;
+  for (const auto& it : from.members) {
+    auto row = std::make_unique<wire::memberT>();
+    row->name = it.name;
+    row->incarnation = it.incarnation;
+    row->address = it.address;
+    row->store_lost = it.store_lost;
+    to.members.push_back(std::move(row));
+  }
+}
+
+void decode_members(const wire::load_summaryT& from, load_summary& to) {
+  to.names_members = from.names_members;
+  for (const auto& it : from.members) {
+    if (it == nullptr) continue;
+    to.members.push_back({.name = it->name,
+                          .incarnation = it->incarnation,
+                          .address = it->address,
+                          .store_lost = it->store_lost});
+  }
+}
+
+std::string bytes_of(const flatbuffers::FlatBufferBuilder& builder) {
+  return {reinterpret_cast<const char*>(builder.GetBufferPointer()),
+          builder.GetSize()};
+}
+
+/// \return whether bytes are long enough to hold an identifier, which stands
+///     behind the root's offset.
+bool may_be_identified(std::string_view bytes) {
+  return bytes.size() >=
+         sizeof(flatbuffers::uoffset_t) +
+             flatbuffers::FlatBufferBuilder::kFileIdentifierLength;
+}
+
+const std::uint8_t* data_of(std::string_view bytes) {
+  return reinterpret_cast<const std::uint8_t*>(bytes.data());
+}
+
+}  // namespace
+
+std::string encode_report(const load_report& it) {
+  auto out = wire::load_reportT();
+  out.name = it.name;
+  out.data_centre = it.data_centre;
+  out.address = it.address;
+  out.incarnation = it.incarnation;
+  out.sequence = it.sequence;
+  out.leaving = it.leaving;
+  out.store_lost = it.store_lost;
+  out.known = it.known;
+  out.wants_reply = it.wants_reply;
+  out.loads = encode_loads(it.loads);
+  encode_doubts(it, out);
+  auto builder = flatbuffers::FlatBufferBuilder();
+  wire::Finishload_reportBuffer(builder,
+                                wire::load_report::Pack(builder, &out));
+  return bytes_of(builder);
+}
+
+std::optional<load_report> decode_report(std::string_view bytes) {
+  auto verifier = flatbuffers::Verifier(data_of(bytes), bytes.size());
+  if (!may_be_identified(bytes) || !wire::Verifyload_reportBuffer(verifier))
+    return std::nullopt;
+  auto in = std::unique_ptr<wire::load_reportT>(
+      wire::Getload_report(bytes.data())->UnPack());
+  auto out = load_report{.name = std::move(in->name),
+                         .data_centre = std::move(in->data_centre),
+                         .address = std::move(in->address),
+                         .incarnation = in->incarnation,
+                         .sequence = in->sequence,
+                         .leaving = in->leaving,
+                         .store_lost = in->store_lost,
+                         .loads = decode_loads(in->loads),
+                         .known = std::move(in->known),
+                         .wants_reply = in->wants_reply};
+  if (out.name.empty()) return std::nullopt;
+  decode_doubts(*in, out);
+  return out;
+}
+
+std::string encode_summary(const sent_summary& it) {
+  auto out = wire::load_summaryT();
+  out.sender_data_centre = it.sender_data_centre;
+  out.sender_address = it.sender_address;
+  out.data_centre = it.summary.data_centre;
+  out.gathered = it.summary.gathered.count();
+  out.loads = encode_loads(it.summary.loads);
+  encode_members(it.summary, out);
+  auto builder = flatbuffers::FlatBufferBuilder();
+  wire::Finishload_summaryBuffer(builder,
+                                 wire::load_summary::Pack(builder, &out));
+  return bytes_of(builder);
+}
+
+bool is_summary(std::string_view bytes) {
+  return may_be_identified(bytes) &&
+         wire::load_summaryBufferHasIdentifier(bytes.data());
+}
+
+std::optional<sent_summary> decode_summary(std::string_view bytes) {
+  auto verifier = flatbuffers::Verifier(data_of(bytes), bytes.size());
+  if (!is_summary(bytes) || !wire::Verifyload_summaryBuffer(verifier))
+    return std::nullopt;
+  auto in = std::unique_ptr<wire::load_summaryT>(
+      wire::Getload_summary(bytes.data())->UnPack());
+  auto out =
+      sent_summary{.sender_data_centre = std::move(in->sender_data_centre),
+                   .sender_address = std::move(in->sender_address),
+                   .summary = {.data_centre = std::move(in->data_centre),
+                               .gathered = instant(in->gathered),
+                               .loads = decode_loads(in->loads)}};
+  decode_members(*in, out.summary);
+  return out;
+}
+
+}  // namespace fulmar::serving
--- a/src/serving/reports.h
+++ b/src/serving/reports.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "front.h"
+#include "fulmarpitch/serving/report-wire.h"
 
 namespace fulmar::serving {
 
@@ -72,10 +73,12 @@
   void send_far(instant now);
   void send(const peer& to, const std::string& bytes);
   load_report own_report(instant now);
+  sent_summary own_summary(instant now);
+  void note_heard(const std::string& address, instant now);
+  /// Takes a summary, and passes on to this data centre what came from afar.
+  void pass_on(sent_summary it);
   std::vector<peer*> far_receivers(const std::string& data_centre, instant now);
 
-  static constexpr std::size_t max_datagram = 16 * 1024;
-
   front& front_;
   report_options options_;
   udp::socket socket_;
@@ -86,14 +89,7 @@
   instant next_far_{};
   /// Turns through the receivers of data centres that are silent.
   std::size_t far_turn_ = 0;
-  std::array<char, max_datagram> input_{};
+  std::array<char, max_datagram_bytes> input_{};
 };
 
-/// Encodes a report as a datagram.
-std::string encode_report(const load_report& it);
-
-/// Decodes a datagram.
-/// \return nothing for bytes that are no report.
-std::optional<load_report> decode_report(const char* bytes, std::size_t size);
-
 }  // namespace fulmar::serving
--- a/test/job-takeover-test.cc
+++ b/test/job-takeover-test.cc
@@ -37,7 +37,7 @@
                  {.data_centre = "b",
                   .gathered = now,
                   .members = {{.name = name, .incarnation = 1}}},
-                 true, now);
+                 now);
   }
 };
 
--- a/test/load-board-test.cc
+++ b/test/load-board-test.cc
@@ -101,8 +101,8 @@
 
 TEST_CASE("another data centre counts by its newest summary") {
   auto board = load_board{.data_centre = "dc"};
-  CHECK(take_summary(board, far_summary(10s, 5), true, 0s));
-  CHECK_FALSE(take_summary(board, far_summary(9s, 7), false, 1ms));
+  CHECK(take_summary(board, far_summary(10s, 5), 0s));
+  CHECK_FALSE(take_summary(board, far_summary(9s, 7), 1ms));
   CHECK(load_of(board, target_key, 1s).online == 5);
   CHECK(load_of(board, target_key, 3s).online == 0);
   CHECK(live_incarnation(board, "x", 3s) == 3);
@@ -110,7 +110,7 @@
   CHECK_FALSE(live_incarnation(board, "x", 6s));
   auto own = far_summary(11s, 1);
   own.data_centre = "dc";
-  CHECK_FALSE(take_summary(board, own, true, 0s));
+  CHECK_FALSE(take_summary(board, own, 0s));
 }
 
 TEST_CASE(
@@ -138,7 +138,7 @@
   auto far = load_summary{.data_centre = "other", .gathered = 1s};
   far.members = {{.name = "x", .address = "10.1.0.1", .store_lost = true},
                  {.name = "y", .address = "10.1.0.2"}};
-  REQUIRE(take_summary(board, far, true, 0s));
+  REQUIRE(take_summary(board, far, 0s));
   CHECK(find_store_helper(board, 0, 0s) == "10.1.0.2");
   CHECK(find_store_helper(board, 1, 0s) == "10.1.0.2");
   near.sequence = 2;
@@ -193,7 +193,7 @@
   auto board = load_board{.data_centre = "dc"};
   CHECK(knows_loads(board, "dc", 10s));
   CHECK_FALSE(knows_loads(board, "dc2", 10s));
-  take_summary(board, {.data_centre = "dc2", .gathered = 1s}, true, 10s);
+  take_summary(board, {.data_centre = "dc2", .gathered = 1s}, 10s);
   CHECK(knows_loads(board, "dc2", 11s));
   CHECK_FALSE(knows_loads(board, "dc2", 12s));
 }
