Leave a target alone once an answer of it says that it leaves

Cause: targets that leave now say so in each answer, which may come before the list does; the code did not read the header.

Change: from such an answer on the target gets nothing until the list names another start of it, also when its entry lapses and comes back. Members of the data centre hear of it with the next report, and take it for leaving and not only for doubtful. A request whose client left or whose time passed while the connection opened is not sent.

Test: serving-targets-test, and serving-daemon-test with a target that says so; without the change the target got a second request.

--- a/include/fulmarpitch/serving/doubt.h
+++ b/include/fulmarpitch/serving/doubt.h
@@ -47,6 +47,8 @@
   /// Recent failures, less what successes made up for.
   double score = 0;
   instant last_failure{};
+  /// The target finishes what it has and takes nothing new.
+  bool leaving = false;
 };
 
 /// What is held against targets, by their keys.
--- a/include/fulmarpitch/serving/load_generated.h
+++ b/include/fulmarpitch/serving/load_generated.h
@@ -174,6 +174,7 @@
   uint32_t avoid_ms = 0;
   uint32_t trial_ms = 0;
   float score = 0.0f;
+  bool leaving = false;
 };
 
 struct doubt FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -183,7 +184,8 @@
     VT_TARGET = 4,
     VT_AVOID_MS = 6,
     VT_TRIAL_MS = 8,
-    VT_SCORE = 10
+    VT_SCORE = 10,
+    VT_LEAVING = 12
   };
   uint64_t target() const {
     return GetField<uint64_t>(VT_TARGET, 0);
@@ -197,12 +199,16 @@
   float score() const {
     return GetField<float>(VT_SCORE, 0.0f);
   }
+  bool leaving() const {
+    return GetField<uint8_t>(VT_LEAVING, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_TARGET, 8) &&
            VerifyField<uint32_t>(verifier, VT_AVOID_MS, 4) &&
            VerifyField<uint32_t>(verifier, VT_TRIAL_MS, 4) &&
            VerifyField<float>(verifier, VT_SCORE, 4) &&
+           VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
            verifier.EndTable();
   }
   doubtT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -226,6 +232,9 @@
   void add_score(float score) {
     fbb_.AddElement<float>(doubt::VT_SCORE, score, 0.0f);
   }
+  void add_leaving(bool leaving) {
+    fbb_.AddElement<uint8_t>(doubt::VT_LEAVING, static_cast<uint8_t>(leaving), 0);
+  }
   explicit doubtBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -242,12 +251,14 @@
     uint64_t target = 0,
     uint32_t avoid_ms = 0,
     uint32_t trial_ms = 0,
-    float score = 0.0f) {
+    float score = 0.0f,
+    bool leaving = false) {
   doubtBuilder builder_(_fbb);
   builder_.add_target(target);
   builder_.add_score(score);
   builder_.add_trial_ms(trial_ms);
   builder_.add_avoid_ms(avoid_ms);
+  builder_.add_leaving(leaving);
   return builder_.Finish();
 }
 
@@ -509,6 +520,7 @@
   { auto _e = avoid_ms(); _o->avoid_ms = _e; }
   { auto _e = trial_ms(); _o->trial_ms = _e; }
   { auto _e = score(); _o->score = _e; }
+  { auto _e = leaving(); _o->leaving = _e; }
 }
 
 inline flatbuffers::Offset<doubt> doubt::Pack(flatbuffers::FlatBufferBuilder &_fbb, const doubtT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -523,12 +535,14 @@
   auto _avoid_ms = _o->avoid_ms;
   auto _trial_ms = _o->trial_ms;
   auto _score = _o->score;
+  auto _leaving = _o->leaving;
   return fulmar::serving::wire::Createdoubt(
       _fbb,
       _target,
       _avoid_ms,
       _trial_ms,
-      _score);
+      _score,
+      _leaving);
 }
 
 inline load_reportT::load_reportT(const load_reportT &o)
--- a/include/fulmarpitch/serving/targets.h
+++ b/include/fulmarpitch/serving/targets.h
@@ -37,6 +37,16 @@
   target_doubt doubt;
   /// Another target answers at the address: no work until the list changes.
   bool replaced = false;
+  /// The target said that it leaves: no work until it starts again.
+  bool leaving = false;
+};
+
+/// A target that said that it leaves.
+struct left_target {
+  std::uint64_t started_ms = 0;
+  std::string address;
+  /// When it said so, on the steady clock.
+  instant heard{};
 };
 
 /// A row of the table of targets.
@@ -57,6 +67,9 @@
   absl::flat_hash_map<std::string, target_row> rows;
   /// Ids by the targets' keys.
   absl::flat_hash_map<std::uint64_t, std::string> ids;
+  /// Targets that said that they leave, by id. Kept when their rows go, as the
+  /// list may name them again after an outage.
+  absl::flat_hash_map<std::string, left_target> left;
   avoidance_options avoidance;
 };
 
@@ -64,6 +77,10 @@
 /// again under its id is treated as new.
 void list_target(target_table& table, target listed);
 
+/// Notes that a target said that it leaves; nothing for an unknown id.
+/// \return whether that is news.
+bool note_leaving(target_table& table, const std::string& id, instant now);
+
 /// What is listed of a target is told again after this time, for daemons that
 /// took it otherwise.
 inline constexpr auto retell_period = std::chrono::seconds(5);
@@ -89,8 +106,8 @@
 /// \param until when it is taken as gone, unless it is listed again.
 void let_lapse(target_table& table, const std::string& id, instant until);
 
-/// Removes the targets whose time is up.
-/// \return their ids.
+/// Removes the targets whose time is up, and forgets those that left long ago.
+/// \return the ids of the removed ones.
 std::vector<std::string> drop_lapsed(target_table& table, instant now);
 
 /// Finds a target.
--- a/src/serving/attempt.cc
+++ b/src/serving/attempt.cc
@@ -92,6 +92,8 @@
       co_return ended(attempt_outcome::not_run, std::string(status.message()));
     }
   }
+  if (entry.stopped || (deadline && event_loop::steady() >= *deadline))
+    co_return ended(attempt_outcome::not_run, "nobody waits for it any more");
   link->expire_at(deadline);
   auto text = request_text(to, request);
   entry.started = event_loop::steady();
@@ -108,6 +110,9 @@
     co_return ended(attempt_outcome::broken, why);
   }
   entry.heard = event_loop::steady();
+  auto leaves =
+      !find_header(head->headers, platform::header::target_leaving).empty();
+  if (leaves && head->status != status_misdirected) leave_alone(in, to);
   auto refused = !find_header(head->headers, platform::header::not_run).empty();
   if (!refused && head->status != status_misdirected) {
     co_return answered(std::move(*head));
--- a/src/serving/doubt.cc
+++ b/src/serving/doubt.cc
@@ -31,11 +31,12 @@
   return {.avoid_until = std::max(a.avoid_until, b.avoid_until),
           .trial_until = std::max(a.trial_until, b.trial_until),
           .score = a.score + b.score,
-          .last_failure = std::max(a.last_failure, b.last_failure)};
+          .last_failure = std::max(a.last_failure, b.last_failure),
+          .leaving = a.leaving || b.leaving};
 }
 
 trust trust_at(const target_doubt& it, instant now) {
-  if (now < it.avoid_until) return trust::none;
+  if (it.leaving || now < it.avoid_until) return trust::none;
   return now < it.trial_until ? trust::trial : trust::full;
 }
 
--- a/src/serving/front.cc
+++ b/src/serving/front.cc
@@ -111,8 +111,10 @@
   };
   for (const auto& [id, row] : in.targets.rows) {
     const auto& listed = row.listed;
-    if (listed.service != service || listed.leaving || row.seen.replaced)
+    if (listed.service != service || listed.leaving || row.seen.replaced ||
+        row.seen.leaving) {
       continue;
+    }
     auto away = distance::other_region;
     if (listed.data_centre == in.settings.data_centre) {
       away = distance::data_centre;
@@ -120,11 +122,13 @@
       away = distance::region;
     }
     if (away > farthest) continue;
+    auto others = doubt_of(in.board, row.key, now);
+    if (others.leaving) continue;
     out.candidates.push_back(
         {.load = load_of(in.board, row.key, now),
          .slots = listed.slots,
          .away = away,
-         .trusted = trust_in(row, doubt_of(in.board, row.key, now), now),
+         .trusted = trust_in(row, others, now),
          .load_known = knows_loads(in.board, listed.data_centre, now),
          .found_full = full.contains(row.key),
          .tie = mix_hash(row.key, salt)});
@@ -192,6 +196,13 @@
               {"avoid_us", std::int64_t{(doubt.avoid_until - now).count()}}});
 }
 
+void leave_alone(front& in, const target& it) {
+  if (!note_leaving(in.targets, it.id, event_loop::steady())) return;
+  in.target_links.drop(it.address);
+  in.reports->changed();
+  in.log.add("target_leaves", {{"target", it.id}, {"address", it.address}});
+}
+
 void trust_target(front& in, const std::string& id) {
   auto* row = find_target(in.targets, id);
   if (row != nullptr) note_success(row->seen.doubt, in.targets.avoidance);
--- a/src/serving/front.h
+++ b/src/serving/front.h
@@ -281,6 +281,9 @@
 /// Notes that a request failed because of a target.
 void doubt_target(front& in, const std::string& id, target_fault fault);
 
+/// Notes that a target said that it leaves, and gives it nothing more.
+void leave_alone(front& in, const target& it);
+
 /// Notes that a target answered a request as it should.
 void trust_target(front& in, const std::string& id);
 
--- a/src/serving/report-wire.cc
+++ b/src/serving/report-wire.cc
@@ -39,6 +39,7 @@
     row->avoid_ms = milliseconds(it.avoid_until);
     row->trial_ms = milliseconds(it.trial_until);
     row->score = static_cast<float>(it.score);
+    row->leaving = it.leaving;
     to.doubts.push_back(std::move(row));
   }
 }
@@ -49,7 +50,8 @@
     to.doubts[it->target] = {
         .avoid_until = std::chrono::milliseconds(it->avoid_ms),
         .trial_until = std::chrono::milliseconds(it->trial_ms),
-        .score = it->score};
+        .score = it->score,
+        .leaving = it->leaving};
   }
 }
 
--- a/src/serving/targets.cc
+++ b/src/serving/targets.cc
@@ -10,6 +10,17 @@
 /// What is said of a leaving target holds for four reports.
 constexpr auto leaving_notice = std::chrono::milliseconds(1000);
 
+/// A target that leaves may serve on for minutes before it ends.
+constexpr auto leaving_memory = std::chrono::minutes(10);
+
+/// \return whether a target said in this life that it leaves.
+bool has_left(const target_table& table, const target& it) {
+  auto found = table.left.find(it.id);
+  return found != table.left.end() &&
+         found->second.started_ms == it.started_ms &&
+         found->second.address == it.address;
+}
+
 }  // namespace
 
 void list_target(target_table& table, target listed) {
@@ -21,10 +32,20 @@
   if (restarted) row.seen = {};
   row.key = key;
   table.ids[key] = listed.id;
+  row.seen.leaving = has_left(table, listed);
   row.listed = std::move(listed);
   row.lapses_at.reset();
 }
 
+bool note_leaving(target_table& table, const std::string& id, instant now) {
+  auto* row = find_target(table, id);
+  if (row == nullptr) return false;
+  table.left[id] = {.started_ms = row->listed.started_ms,
+                    .address = row->listed.address,
+                    .heard = now};
+  return !std::exchange(row->seen.leaving, true);
+}
+
 bool is_news(const target_table& table, const target& listed, instant now) {
   auto it = table.rows.find(listed.id);
   if (it == table.rows.end()) return true;
@@ -59,6 +80,9 @@
   }
   for (const auto& id : out)
     drop_target(table, id);
+  absl::erase_if(table.left, [&](const auto& it) {
+    return now - it.second.heard > leaving_memory;
+  });
   return out;
 }
 
@@ -76,8 +100,8 @@
   auto out = doubt_table();
   for (const auto& [id, row] : table.rows) {
     auto doubt = row.seen.doubt;
-    if (row.listed.leaving) {
-      out[row.key] = {.avoid_until = leaving_notice};
+    if (row.listed.leaving || row.seen.leaving) {
+      out[row.key] = {.avoid_until = leaving_notice, .leaving = true};
     } else if (trust_at(doubt, now) != trust::full) {
       doubt.avoid_until -= now;
       doubt.trial_until -= now;
@@ -88,7 +112,8 @@
 }
 
 trust trust_in(const target_row& it, const target_doubt& others, instant now) {
-  if (it.listed.leaving || it.seen.replaced) return trust::none;
+  if (it.listed.leaving || it.seen.replaced || it.seen.leaving)
+    return trust::none;
   return trust_at(join(it.seen.doubt, others), now);
 }
 
--- a/test/report-wire-test.cc
+++ b/test/report-wire-test.cc
@@ -48,8 +48,10 @@
                          .known = {"10.1.0.1", "10.1.0.2"},
                          .wants_reply = true};
   for (const auto& [target, load] : out.loads) {
-    out.doubts[target] = {
-        .avoid_until = 300ms, .trial_until = 900ms, .score = 2.5};
+    out.doubts[target] = {.avoid_until = 300ms,
+                          .trial_until = 900ms,
+                          .score = 2.5,
+                          .leaving = true};
   }
   return out;
 }
@@ -86,6 +88,7 @@
   REQUIRE(it->doubts.size() == sent.doubts.size());
   CHECK(it->doubts.begin()->second.trial_until == 900ms);
   CHECK(it->doubts.begin()->second.score == 2.5);
+  CHECK(it->doubts.begin()->second.leaving);
 }
 
 TEST_CASE("a summary comes back as it was sent") {
--- a/test/serving-daemon-test.cc
+++ b/test/serving-daemon-test.cc
@@ -438,6 +438,26 @@
   CHECK(moved.heads.size() == 1);
 }
 
+TEST_CASE("a target that says that it leaves gets no second request") {
+  auto& it = make_fixture();
+  auto& leaving = it.add_target([](const auto& head) {
+    auto out = whole(head);
+    auto behind_status = out.bytes.find("\r\n") + 2;
+    out.bytes.insert(behind_status, "Server-Leaving: 1\r\n");
+    return out;
+  });
+  it.start();
+  auto first = it.post("/once/1", "a1");
+  CHECK(first->status == 200);
+  CHECK(first->body == whole_text());
+  CHECK(find_header(first->headers, "Server-Leaving") == "1");
+  CHECK(it.post("/once/1", "a2")->status == 503);
+  it.add_target(whole);
+  it.run_for(1500ms);
+  CHECK(it.post("/once/1", "a3")->status == 200);
+  CHECK(leaving.heads.size() == 1);
+}
+
 TEST_CASE("a newer configuration comes into force, an older one never") {
   auto& it = make_fixture();
   it.add_target(whole);
--- a/test/serving-targets-test.cc
+++ b/test/serving-targets-test.cc
@@ -89,6 +89,8 @@
   auto key = find_target(table, "leaving")->key;
   CHECK(told.at(key).avoid_until > 0s);
   CHECK(told.at(key).score == 0);
+  CHECK(told.at(key).leaving);
+  CHECK_FALSE(told.at(bad.key).leaving);
   CHECK(tell_doubts(table, 60s).size() == 1);
 }
 
@@ -149,3 +151,44 @@
   // Without a choice it would be 30 each 1.2 s, 1,500 in all.
   CHECK(told <= targets * (minute / retell_period));
 }
+
+TEST_CASE("a target that says that it leaves is left alone for this life") {
+  auto table = target_table();
+  list_target(table, sample());
+  CHECK(note_leaving(table, "t1", 1s));
+  CHECK_FALSE(note_leaving(table, "t1", 2s));
+  CHECK_FALSE(note_leaving(table, "unknown", 2s));
+  auto now_trusted = [&](instant now) {
+    return trust_in(*find_target(table, "t1"), {}, now);
+  };
+  // Its entry does not say so yet, or the store is away.
+  list_target(table, sample());
+  CHECK(now_trusted(60s) == trust::none);
+  CHECK(tell_doubts(table, 60s).size() == 1);
+
+  SECTION("also when its entry lapsed and came back") {
+    let_lapse(table, "t1", 3s);
+    CHECK(drop_lapsed(table, 3s).size() == 1);
+    list_target(table, sample());
+    CHECK(now_trusted(60s) == trust::none);
+  }
+  SECTION("another life of it is used") {
+    auto again = sample();
+    again.started_ms = 9;
+    list_target(table, again);
+    CHECK(now_trusted(60s) == trust::full);
+  }
+  SECTION("it is forgotten in the end") {
+    drop_target(table, "t1");
+    drop_lapsed(table, 1h);
+    CHECK(table.left.empty());
+  }
+}
+
+TEST_CASE("what others say of a leaving target holds while they say it") {
+  auto table = target_table();
+  list_target(table, sample());
+  const auto& row = *find_target(table, "t1");
+  CHECK(trust_in(row, {.leaving = true}, 9s) == trust::none);
+  CHECK(trust_in(row, {}, 9s) == trust::full);
+}
