Nothing but log lines depends on the time of day

Cause: lives of a daemon were named by the time of day at their start and the greater one counted, so that a process started after a jump back was ignored until its former life was forgotten, and its jobs were taken for those of a lost owner. Summaries were ordered by the time of day of different gatherers.

Ruled out: the store's version of the daemon's row, which is not known while the store is away at the start.

Change: lives have random names, and of two lives the younger one counts, by the age that reports tell on the steady clock. Summaries are counted by each gatherer.

Test: load-board-test with lives whose numbers grow or fall, slow reports and a change of gatherer; without the change the smaller number was ignored.

--- a/include/fulmarpitch/serving/event-log.h
+++ b/include/fulmarpitch/serving/event-log.h
@@ -61,8 +61,9 @@
 };
 
 /// Writes one line as JSON, without a line end.
-/// \param time wall-clock time.
-std::string format_event(instant time, std::string_view event,
+/// \param time the time of day, which may jump.
+/// \param steady the steady clock, by which the lines of a process are ordered.
+std::string format_event(instant time, instant steady, std::string_view event,
                          std::initializer_list<log_field> fields);
 
 }  // namespace fulmar::serving
--- a/include/fulmarpitch/serving/load-board.h
+++ b/include/fulmarpitch/serving/load-board.h
@@ -41,8 +41,10 @@
 /// All loads of one data centre, gathered by one of its members.
 struct load_summary {
   std::string data_centre;
-  /// Wall-clock time of the gathering; the newest counts.
-  instant gathered{};
+  /// Incarnation of the member that gathered them.
+  std::uint64_t gatherer = 0;
+  /// Grows with each summary of a gatherer.
+  std::uint64_t sequence = 0;
   load_table loads;
   /// Most summaries leave the members out, as these change rarely.
   bool names_members = true;
@@ -55,10 +57,12 @@
   std::string data_centre;
   /// IP address that takes reports.
   std::string address;
-  /// Start of the daemon, in microseconds since the Unix epoch.
+  /// Names this life of the daemon; random.
   std::uint64_t incarnation = 0;
   /// Grows with each report of an incarnation.
   std::uint64_t sequence = 0;
+  /// Time since the daemon's start, on its steady clock.
+  instant age{};
   /// The daemon is shutting down and takes over nothing.
   bool leaving = false;
   /// The daemon does not reach the platform's store.
@@ -76,6 +80,9 @@
 /// The last report of another daemon.
 struct member_row {
   load_report report;
+  /// When this life of it began, on this daemon's steady clock; later than in
+  /// truth by the fastest report's way.
+  instant started{};
   /// When it arrived, on the steady clock.
   instant heard{};
 };
@@ -83,6 +90,8 @@
 /// The last summary of another data centre.
 struct summary_row {
   load_summary summary;
+  /// The newest summary of each gatherer.
+  absl::flat_hash_map<std::uint64_t, std::uint64_t> sequences;
   /// When it arrived, on the steady clock.
   instant heard{};
 };
@@ -115,14 +124,14 @@
   board_options options;
 };
 
-/// Takes another daemon's report, unless a newer one is known.
-/// \param board the board.
-/// \param it the report.
-/// \param now the steady clock.
-/// \return whether the report was new.
+/// Takes another daemon's report, unless a newer one is known. Of two lives of
+/// a daemon the younger one is alive; times of day do not count. \param board
+/// the board. \param it the report. \param now the steady clock. \return
+/// whether the report was new.
 bool take_report(load_board& board, load_report it, instant now);
 
-/// Takes a summary of another data centre, unless a newer one is known.
+/// Takes a summary of another data centre, unless a newer one of the same
+/// gatherer is known.
 /// \param board the board.
 /// \param it the summary; keeps the known members when it names none.
 /// \param now the steady clock.
--- a/include/fulmarpitch/serving/load_generated.h
+++ b/include/fulmarpitch/serving/load_generated.h
@@ -271,6 +271,7 @@
   std::string address{};
   uint64_t incarnation = 0;
   uint64_t sequence = 0;
+  uint64_t age_us = 0;
   bool leaving = false;
   bool store_lost = false;
   bool wants_reply = false;
@@ -292,12 +293,13 @@
     VT_ADDRESS = 8,
     VT_INCARNATION = 10,
     VT_SEQUENCE = 12,
-    VT_LEAVING = 14,
-    VT_STORE_LOST = 16,
-    VT_WANTS_REPLY = 18,
-    VT_LOADS = 20,
-    VT_DOUBTS = 22,
-    VT_KNOWN = 24
+    VT_AGE_US = 14,
+    VT_LEAVING = 16,
+    VT_STORE_LOST = 18,
+    VT_WANTS_REPLY = 20,
+    VT_LOADS = 22,
+    VT_DOUBTS = 24,
+    VT_KNOWN = 26
   };
   const flatbuffers::String *name() const {
     return GetPointer<const flatbuffers::String *>(VT_NAME);
@@ -314,6 +316,9 @@
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
   }
+  uint64_t age_us() const {
+    return GetField<uint64_t>(VT_AGE_US, 0);
+  }
   bool leaving() const {
     return GetField<uint8_t>(VT_LEAVING, 0) != 0;
   }
@@ -342,6 +347,7 @@
            verifier.VerifyString(address()) &&
            VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
+           VerifyField<uint64_t>(verifier, VT_AGE_US, 8) &&
            VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
            VerifyField<uint8_t>(verifier, VT_STORE_LOST, 1) &&
            VerifyField<uint8_t>(verifier, VT_WANTS_REPLY, 1) &&
@@ -379,6 +385,9 @@
   void add_sequence(uint64_t sequence) {
     fbb_.AddElement<uint64_t>(load_report::VT_SEQUENCE, sequence, 0);
   }
+  void add_age_us(uint64_t age_us) {
+    fbb_.AddElement<uint64_t>(load_report::VT_AGE_US, age_us, 0);
+  }
   void add_leaving(bool leaving) {
     fbb_.AddElement<uint8_t>(load_report::VT_LEAVING, static_cast<uint8_t>(leaving), 0);
   }
@@ -415,6 +424,7 @@
     flatbuffers::Offset<flatbuffers::String> address = 0,
     uint64_t incarnation = 0,
     uint64_t sequence = 0,
+    uint64_t age_us = 0,
     bool leaving = false,
     bool store_lost = false,
     bool wants_reply = false,
@@ -422,6 +432,7 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fulmar::serving::wire::doubt>>> doubts = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> known = 0) {
   load_reportBuilder builder_(_fbb);
+  builder_.add_age_us(age_us);
   builder_.add_sequence(sequence);
   builder_.add_incarnation(incarnation);
   builder_.add_known(known);
@@ -443,6 +454,7 @@
     const char *address = nullptr,
     uint64_t incarnation = 0,
     uint64_t sequence = 0,
+    uint64_t age_us = 0,
     bool leaving = false,
     bool store_lost = false,
     bool wants_reply = false,
@@ -462,6 +474,7 @@
       address__,
       incarnation,
       sequence,
+      age_us,
       leaving,
       store_lost,
       wants_reply,
@@ -551,6 +564,7 @@
         address(o.address),
         incarnation(o.incarnation),
         sequence(o.sequence),
+        age_us(o.age_us),
         leaving(o.leaving),
         store_lost(o.store_lost),
         wants_reply(o.wants_reply),
@@ -566,6 +580,7 @@
   std::swap(address, o.address);
   std::swap(incarnation, o.incarnation);
   std::swap(sequence, o.sequence);
+  std::swap(age_us, o.age_us);
   std::swap(leaving, o.leaving);
   std::swap(store_lost, o.store_lost);
   std::swap(wants_reply, o.wants_reply);
@@ -589,6 +604,7 @@
   { auto _e = address(); if (_e) _o->address = _e->str(); }
   { auto _e = incarnation(); _o->incarnation = _e; }
   { auto _e = sequence(); _o->sequence = _e; }
+  { auto _e = age_us(); _o->age_us = _e; }
   { auto _e = leaving(); _o->leaving = _e; }
   { auto _e = store_lost(); _o->store_lost = _e; }
   { auto _e = wants_reply(); _o->wants_reply = _e; }
@@ -610,6 +626,7 @@
   auto _address = _o->address.empty() ? 0 : _fbb.CreateString(_o->address);
   auto _incarnation = _o->incarnation;
   auto _sequence = _o->sequence;
+  auto _age_us = _o->age_us;
   auto _leaving = _o->leaving;
   auto _store_lost = _o->store_lost;
   auto _wants_reply = _o->wants_reply;
@@ -623,6 +640,7 @@
       _address,
       _incarnation,
       _sequence,
+      _age_us,
       _leaving,
       _store_lost,
       _wants_reply,
--- a/include/fulmarpitch/serving/summary_generated.h
+++ b/include/fulmarpitch/serving/summary_generated.h
@@ -28,7 +28,8 @@
   std::string sender_data_centre{};
   std::string sender_address{};
   std::string data_centre{};
-  int64_t gathered = 0;
+  uint64_t gatherer = 0;
+  uint64_t sequence = 0;
   std::vector<fulmar::serving::wire::target_load> loads{};
   std::vector<std::unique_ptr<fulmar::serving::wire::memberT>> members{};
   bool names_members = true;
@@ -45,10 +46,11 @@
     VT_SENDER_DATA_CENTRE = 4,
     VT_SENDER_ADDRESS = 6,
     VT_DATA_CENTRE = 8,
-    VT_GATHERED = 10,
-    VT_LOADS = 12,
-    VT_MEMBERS = 14,
-    VT_NAMES_MEMBERS = 16
+    VT_GATHERER = 10,
+    VT_SEQUENCE = 12,
+    VT_LOADS = 14,
+    VT_MEMBERS = 16,
+    VT_NAMES_MEMBERS = 18
   };
   const flatbuffers::String *sender_data_centre() const {
     return GetPointer<const flatbuffers::String *>(VT_SENDER_DATA_CENTRE);
@@ -59,8 +61,11 @@
   const flatbuffers::String *data_centre() const {
     return GetPointer<const flatbuffers::String *>(VT_DATA_CENTRE);
   }
-  int64_t gathered() const {
-    return GetField<int64_t>(VT_GATHERED, 0);
+  uint64_t gatherer() const {
+    return GetField<uint64_t>(VT_GATHERER, 0);
+  }
+  uint64_t sequence() const {
+    return GetField<uint64_t>(VT_SEQUENCE, 0);
   }
   const flatbuffers::Vector<const fulmar::serving::wire::target_load *> *loads() const {
     return GetPointer<const flatbuffers::Vector<const fulmar::serving::wire::target_load *> *>(VT_LOADS);
@@ -79,7 +84,8 @@
            verifier.VerifyString(sender_address()) &&
            VerifyOffset(verifier, VT_DATA_CENTRE) &&
            verifier.VerifyString(data_centre()) &&
-           VerifyField<int64_t>(verifier, VT_GATHERED, 8) &&
+           VerifyField<uint64_t>(verifier, VT_GATHERER, 8) &&
+           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
            VerifyOffset(verifier, VT_LOADS) &&
            verifier.VerifyVector(loads()) &&
            VerifyOffset(verifier, VT_MEMBERS) &&
@@ -106,8 +112,11 @@
   void add_data_centre(flatbuffers::Offset<flatbuffers::String> data_centre) {
     fbb_.AddOffset(load_summary::VT_DATA_CENTRE, data_centre);
   }
-  void add_gathered(int64_t gathered) {
-    fbb_.AddElement<int64_t>(load_summary::VT_GATHERED, gathered, 0);
+  void add_gatherer(uint64_t gatherer) {
+    fbb_.AddElement<uint64_t>(load_summary::VT_GATHERER, gatherer, 0);
+  }
+  void add_sequence(uint64_t sequence) {
+    fbb_.AddElement<uint64_t>(load_summary::VT_SEQUENCE, sequence, 0);
   }
   void add_loads(flatbuffers::Offset<flatbuffers::Vector<const fulmar::serving::wire::target_load *>> loads) {
     fbb_.AddOffset(load_summary::VT_LOADS, loads);
@@ -134,12 +143,14 @@
     flatbuffers::Offset<flatbuffers::String> sender_data_centre = 0,
     flatbuffers::Offset<flatbuffers::String> sender_address = 0,
     flatbuffers::Offset<flatbuffers::String> data_centre = 0,
-    int64_t gathered = 0,
+    uint64_t gatherer = 0,
+    uint64_t sequence = 0,
     flatbuffers::Offset<flatbuffers::Vector<const fulmar::serving::wire::target_load *>> loads = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fulmar::serving::wire::member>>> members = 0,
     bool names_members = true) {
   load_summaryBuilder builder_(_fbb);
-  builder_.add_gathered(gathered);
+  builder_.add_sequence(sequence);
+  builder_.add_gatherer(gatherer);
   builder_.add_members(members);
   builder_.add_loads(loads);
   builder_.add_data_centre(data_centre);
@@ -154,7 +165,8 @@
     const char *sender_data_centre = nullptr,
     const char *sender_address = nullptr,
     const char *data_centre = nullptr,
-    int64_t gathered = 0,
+    uint64_t gatherer = 0,
+    uint64_t sequence = 0,
     const std::vector<fulmar::serving::wire::target_load> *loads = nullptr,
     const std::vector<flatbuffers::Offset<fulmar::serving::wire::member>> *members = nullptr,
     bool names_members = true) {
@@ -168,7 +180,8 @@
       sender_data_centre__,
       sender_address__,
       data_centre__,
-      gathered,
+      gatherer,
+      sequence,
       loads__,
       members__,
       names_members);
@@ -180,7 +193,8 @@
       : sender_data_centre(o.sender_data_centre),
         sender_address(o.sender_address),
         data_centre(o.data_centre),
-        gathered(o.gathered),
+        gatherer(o.gatherer),
+        sequence(o.sequence),
         loads(o.loads),
         names_members(o.names_members) {
   members.reserve(o.members.size());
@@ -191,7 +205,8 @@
   std::swap(sender_data_centre, o.sender_data_centre);
   std::swap(sender_address, o.sender_address);
   std::swap(data_centre, o.data_centre);
-  std::swap(gathered, o.gathered);
+  std::swap(gatherer, o.gatherer);
+  std::swap(sequence, o.sequence);
   std::swap(loads, o.loads);
   std::swap(members, o.members);
   std::swap(names_members, o.names_members);
@@ -210,7 +225,8 @@
   { auto _e = sender_data_centre(); if (_e) _o->sender_data_centre = _e->str(); }
   { auto _e = sender_address(); if (_e) _o->sender_address = _e->str(); }
   { auto _e = data_centre(); if (_e) _o->data_centre = _e->str(); }
-  { auto _e = gathered(); _o->gathered = _e; }
+  { auto _e = gatherer(); _o->gatherer = _e; }
+  { auto _e = sequence(); _o->sequence = _e; }
   { auto _e = loads(); if (_e) { _o->loads.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->loads[_i] = *_e->Get(_i); } } }
   { auto _e = members(); if (_e) { _o->members.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->members[_i] = std::unique_ptr<fulmar::serving::wire::memberT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = names_members(); _o->names_members = _e; }
@@ -227,7 +243,8 @@
   auto _sender_data_centre = _o->sender_data_centre.empty() ? 0 : _fbb.CreateString(_o->sender_data_centre);
   auto _sender_address = _o->sender_address.empty() ? 0 : _fbb.CreateString(_o->sender_address);
   auto _data_centre = _o->data_centre.empty() ? 0 : _fbb.CreateString(_o->data_centre);
-  auto _gathered = _o->gathered;
+  auto _gatherer = _o->gatherer;
+  auto _sequence = _o->sequence;
   auto _loads = _o->loads.size() ? _fbb.CreateVectorOfStructs(_o->loads) : 0;
   auto _members = _o->members.size() ? _fbb.CreateVector<flatbuffers::Offset<fulmar::serving::wire::member>> (_o->members.size(), [](size_t i, _VectorArgs *__va) { return Createmember(*__va->__fbb, __va->__o->members[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _names_members = _o->names_members;
@@ -236,7 +253,8 @@
       _sender_data_centre,
       _sender_address,
       _data_centre,
-      _gathered,
+      _gatherer,
+      _sequence,
       _loads,
       _members,
       _names_members);
--- a/src/serving/event-log.cc
+++ b/src/serving/event-log.cc
@@ -31,10 +31,11 @@
 
 }  // namespace
 
-std::string format_event(instant time, std::string_view event,
+std::string format_event(instant time, instant steady, std::string_view event,
                          std::initializer_list<log_field> fields) {
   auto out = json::object();
   out["time_us"] = time.count();
+  out["steady_us"] = steady.count();
   out["event"] = json::string_view(event.data(), event.size());
   for (const auto& [name, value] : fields)
     out[json::string_view(name.data(), name.size())] = to_json(value);
@@ -63,14 +64,16 @@
 
 void event_log::add(std::string_view event,
                     std::initializer_list<log_field> fields) {
-  if (!admit(event_loop::steady())) return;
+  auto steady = event_loop::steady();
+  if (!admit(steady)) return;
   auto now = event_loop::now();
   if (dropped_ > reported_) {
-    pending_ += format_event(now, "log_lines_dropped", {{"total", dropped_}});
+    pending_ +=
+        format_event(now, steady, "log_lines_dropped", {{"total", dropped_}});
     pending_ += '\n';
     reported_ = dropped_;
   }
-  pending_ += format_event(now, event, fields);
+  pending_ += format_event(now, steady, event, fields);
   pending_ += '\n';
 }
 
--- a/src/serving/front.cc
+++ b/src/serving/front.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
+#include <random>
 
 #include "fulmarpitch/core/rendezvous.h"
 #include "fulmarpitch/core/text.h"
@@ -34,6 +35,11 @@
     "Host", platform::header::time_left, platform::header::expected_target,
     platform::header::not_run, platform::header::last_event};
 
+std::uint64_t new_incarnation() {
+  auto source = std::random_device();
+  return std::uniform_int_distribution<std::uint64_t>(1)(source);
+}
+
 template <typename Names>
 bool is_among(const Names& names, std::string_view name) {
   return std::any_of(names.begin(), names.end(),
@@ -58,7 +64,7 @@
     : loop(event_loop),
       io(io_of(event_loop)),
       settings(std::move(vm)),
-      incarnation(static_cast<std::uint64_t>(event_loop::now().count())),
+      incarnation(new_incarnation()),
       self{.name = concat(settings.name, "#", incarnation),
            .data_centre = settings.data_centre},
       slot_time(first_slot_time),
--- a/src/serving/front.h
+++ b/src/serving/front.h
@@ -91,7 +91,7 @@
   event_loop& loop;
   asio::io_context& io;
   vm_settings settings;
-  /// Start of this process, in microseconds since the Unix epoch.
+  /// Names this life of the daemon; random, as the time of day may jump.
   std::uint64_t incarnation = 0;
   job_owner self;
 
--- a/src/serving/load-board.cc
+++ b/src/serving/load-board.cc
@@ -52,12 +52,13 @@
 }  // namespace
 
 bool take_report(load_board& board, load_report it, instant now) {
-  auto& row = board.members[it.name];
-  const auto& last = row.report;
-  auto newer =
-      it.incarnation > last.incarnation ||
-      (it.incarnation == last.incarnation && it.sequence > last.sequence);
-  if (!newer) return false;
+  auto [at, added] = board.members.try_emplace(it.name);
+  auto& row = at->second;
+  auto started = now - it.age;
+  auto same_life = !added && it.incarnation == row.report.incarnation;
+  if (same_life && it.sequence <= row.report.sequence) return false;
+  if (!same_life && !added && started <= row.started) return false;
+  row.started = same_life ? std::min(row.started, started) : started;
   row.report = std::move(it);
   row.heard = now;
   return true;
@@ -67,9 +68,12 @@
   if (it.data_centre.empty() || it.data_centre == board.data_centre)
     return false;
   auto& row = board.summaries[it.data_centre];
-  if (it.gathered <= row.summary.gathered) return false;
+  auto& sequence = row.sequences[it.gatherer];
+  if (it.sequence <= sequence) return false;
+  sequence = it.sequence;
   if (!it.names_members) it.members = std::move(row.summary.members);
-  row = {.summary = std::move(it), .heard = now};
+  row.summary = std::move(it);
+  row.heard = now;
   return true;
 }
 
--- a/src/serving/report-wire.cc
+++ b/src/serving/report-wire.cc
@@ -32,6 +32,14 @@
   return static_cast<std::uint32_t>(std::max<std::int64_t>(n, 0));
 }
 
+/// Ages beyond a century are no ages, and would not fit a time.
+constexpr auto max_age = std::chrono::years(100);
+
+instant decode_age(std::uint64_t us) {
+  constexpr auto most = std::chrono::duration_cast<instant>(max_age).count();
+  return instant(std::min<std::uint64_t>(us, most));
+}
+
 void encode_doubts(const load_report& from, wire::load_reportT& to) {
   for (const auto& [target, it] : from.doubts) {
     auto row = std::make_unique<wire::doubtT>();
@@ -105,6 +113,7 @@
   out.address = it.address;
   out.incarnation = it.incarnation;
   out.sequence = it.sequence;
+  out.age_us = static_cast<std::uint64_t>(it.age.count());
   out.leaving = it.leaving;
   out.store_lost = it.store_lost;
   out.known = it.known;
@@ -128,6 +137,7 @@
                          .address = std::move(in->address),
                          .incarnation = in->incarnation,
                          .sequence = in->sequence,
+                         .age = decode_age(in->age_us),
                          .leaving = in->leaving,
                          .store_lost = in->store_lost,
                          .loads = decode_loads(in->loads),
@@ -143,7 +153,8 @@
   out.sender_data_centre = it.sender_data_centre;
   out.sender_address = it.sender_address;
   out.data_centre = it.summary.data_centre;
-  out.gathered = it.summary.gathered.count();
+  out.gatherer = it.summary.gatherer;
+  out.sequence = it.summary.sequence;
   out.loads = encode_loads(it.summary.loads);
   encode_members(it.summary, out);
   auto builder = flatbuffers::FlatBufferBuilder();
@@ -167,7 +178,8 @@
       sent_summary{.sender_data_centre = std::move(in->sender_data_centre),
                    .sender_address = std::move(in->sender_address),
                    .summary = {.data_centre = std::move(in->data_centre),
-                               .gathered = instant(in->gathered),
+                               .gatherer = in->gatherer,
+                               .sequence = in->sequence,
                                .loads = decode_loads(in->loads)}};
   decode_members(*in, out.summary);
   return out;
--- a/src/serving/reports.cc
+++ b/src/serving/reports.cc
@@ -271,7 +271,8 @@
                                          .address = front_.settings.address,
                                          .store_lost = store_lost(front_)},
                                         now)};
-  out.summary.gathered = event_loop::now();
+  out.summary.gatherer = front_.incarnation;
+  out.summary.sequence = far_turn_ + 1;
   out.summary.names_members = far_turn_ % summaries_per_member_list == 0;
   return out;
 }
@@ -282,6 +283,7 @@
           .address = front_.settings.address,
           .incarnation = front_.incarnation,
           .sequence = ++sequence_,
+          .age = now - front_.began,
           .leaving = front_.leaving,
           .store_lost = store_lost(front_),
           .loads = front_.board.own,
--- a/test/event-log-test.cc
+++ b/test/event-log-test.cc
@@ -11,13 +11,14 @@
 using namespace fulmar::serving;
 
 TEST_CASE("a line is one JSON object, whatever its values hold") {
-  auto line = format_event(fulmar::instant(5), "request",
+  auto line = format_event(fulmar::instant(5), fulmar::instant(3), "request",
                            {{"request_id", std::string_view("a\"b\n")},
                             {"runs", std::uint64_t{2}},
                             {"ok", true}});
   CHECK(line.find('\n') == std::string::npos);
   auto in = boost::json::parse(line).as_object();
   CHECK(in["time_us"] == 5);
+  CHECK(in["steady_us"] == 3);
   CHECK(in["event"] == "request");
   CHECK(in["request_id"] == "a\"b\n");
 }
--- a/test/job-takeover-test.cc
+++ b/test/job-takeover-test.cc
@@ -35,7 +35,7 @@
   void hear_far(const std::string& name, instant now) {
     take_summary(board,
                  {.data_centre = "b",
-                  .gathered = now,
+                  .sequence = ++sequence,
                   .members = {{.name = name, .incarnation = 1}}},
                  now);
   }
--- a/test/load-board-test.cc
+++ b/test/load-board-test.cc
@@ -38,10 +38,47 @@
   REQUIRE(take_report(board, report("b", 5, {.online = 3}), 0s));
   CHECK_FALSE(take_report(board, report("b", 4, {.online = 9}), 1ms));
   CHECK(load_of(board, target_key, 2ms).online == 3);
+}
+
+TEST_CASE("of two lives of a daemon the younger one counts") {
+  // Lives are told apart by random numbers, which may grow or not.
+  auto first_life = GENERATE(std::uint64_t{3}, std::uint64_t{9});
+  auto board = load_board{.data_centre = "dc"};
+  auto before = report("b", 5, {.online = 3});
+  before.incarnation = first_life;
+  before.age = 60s;
+  REQUIRE(take_report(board, before, 100s));
+  auto restarted = report("b", 1);
+  restarted.incarnation = 5;
+  restarted.age = 20ms;
+  CHECK(take_report(board, restarted, 101s));
+  CHECK(load_of(board, target_key, 101s).online == 0);
+  CHECK(live_incarnation(board, "b", 101s) == 5);
+
+  // What the first life sent arrives late.
+  before.sequence = 6;
+  before.age = 60500ms;
+  CHECK_FALSE(take_report(board, before, 101500ms));
+  CHECK(live_incarnation(board, "b", 101500ms) == 5);
+  restarted.sequence = 2;
+  restarted.age = 620ms;
+  CHECK(take_report(board, restarted, 101600ms));
+}
+
+TEST_CASE(
+    "a slow report does not make a daemon look younger than its next life") {
+  auto board = load_board{.data_centre = "dc"};
+  auto before = report("b", 1);
+  before.age = 1s;
+  REQUIRE(take_report(board, before, 10s));
+  before.sequence = 2;
+  before.age = 1200ms;
+  // It was on its way for a second.
+  REQUIRE(take_report(board, before, 11200ms));
   auto restarted = report("b", 1);
   restarted.incarnation = 2;
-  CHECK(take_report(board, restarted, 3ms));
-  CHECK(load_of(board, target_key, 4ms).online == 0);
+  restarted.age = 1500ms;
+  CHECK(take_report(board, restarted, 11300ms));
 }
 
 TEST_CASE("a member that is silent or leaving is not alive") {
@@ -89,9 +126,10 @@
 
 namespace {
 
-load_summary far_summary(instant gathered, std::uint32_t online) {
+load_summary far_summary(std::uint64_t sequence, std::uint32_t online) {
   auto out = load_summary{.data_centre = "far",
-                          .gathered = gathered,
+                          .gatherer = 7,
+                          .sequence = sequence,
                           .members = {{.name = "x", .incarnation = 3}}};
   out.loads[target_key] = {.online = online};
   return out;
@@ -101,18 +139,43 @@
 
 TEST_CASE("another data centre counts by its newest summary") {
   auto board = load_board{.data_centre = "dc"};
-  CHECK(take_summary(board, far_summary(10s, 5), 0s));
-  CHECK_FALSE(take_summary(board, far_summary(9s, 7), 1ms));
+  CHECK(take_summary(board, far_summary(10, 5), 0s));
+  CHECK_FALSE(take_summary(board, far_summary(9, 7), 1ms));
   CHECK(load_of(board, target_key, 1s).online == 5);
   CHECK(load_of(board, target_key, 3s).online == 0);
   CHECK(live_incarnation(board, "x", 3s) == 3);
   CHECK(live_members(board, "far", 3s) == std::vector<std::string>{"x"});
   CHECK_FALSE(live_incarnation(board, "x", 6s));
-  auto own = far_summary(11s, 1);
+  auto own = far_summary(11, 1);
   own.data_centre = "dc";
   CHECK_FALSE(take_summary(board, own, 0s));
 }
 
+TEST_CASE("summaries of a new gatherer count at once") {
+  auto board = load_board{.data_centre = "dc"};
+  REQUIRE(take_summary(board, far_summary(500, 5), 0s));
+  auto next = far_summary(1, 2);
+  next.gatherer = 3;
+  CHECK(take_summary(board, next, 100ms));
+  CHECK(load_of(board, target_key, 100ms).online == 2);
+  CHECK_FALSE(take_summary(board, next, 150ms));
+  // The first one goes on for a while; both saw the same.
+  CHECK(take_summary(board, far_summary(501, 6), 200ms));
+  next.sequence = 2;
+  CHECK(take_summary(board, next, 300ms));
+}
+
+TEST_CASE("a summary without members leaves the known ones") {
+  auto board = load_board{.data_centre = "dc"};
+  REQUIRE(take_summary(board, far_summary(1, 5), 0s));
+  auto brief = far_summary(2, 6);
+  brief.names_members = false;
+  brief.members.clear();
+  REQUIRE(take_summary(board, brief, 500ms));
+  CHECK(load_of(board, target_key, 500ms).online == 6);
+  CHECK(live_incarnation(board, "x", 500ms) == 3);
+}
+
 TEST_CASE(
     "the member with the least name gathers all loads of its data centre") {
   auto board = load_board{.data_centre = "dc"};
@@ -135,7 +198,7 @@
   near.store_lost = true;
   REQUIRE(take_report(board, near, 0s));
   CHECK_FALSE(find_store_helper(board, 0, 0s));
-  auto far = load_summary{.data_centre = "other", .gathered = 1s};
+  auto far = load_summary{.data_centre = "other", .sequence = 1};
   far.members = {{.name = "x", .address = "10.1.0.1", .store_lost = true},
                  {.name = "y", .address = "10.1.0.2"}};
   REQUIRE(take_summary(board, far, 0s));
@@ -193,7 +256,7 @@
   auto board = load_board{.data_centre = "dc"};
   CHECK(knows_loads(board, "dc", 10s));
   CHECK_FALSE(knows_loads(board, "dc2", 10s));
-  take_summary(board, {.data_centre = "dc2", .gathered = 1s}, 10s);
+  take_summary(board, {.data_centre = "dc2", .sequence = 1}, 10s);
   CHECK(knows_loads(board, "dc2", 11s));
   CHECK_FALSE(knows_loads(board, "dc2", 12s));
 }
--- a/test/report-wire-test.cc
+++ b/test/report-wire-test.cc
@@ -25,7 +25,8 @@
   auto out = sent_summary{.sender_data_centre = "northern-hall-b",
                           .sender_address = "10.102.103.104",
                           .summary = {.data_centre = "northern-hall-b",
-                                      .gathered = 17s,
+                                      .gatherer = 77,
+                                      .sequence = 17,
                                       .loads = all_loads()}};
   for (auto n = std::size_t{0}; n < vm_count; ++n) {
     out.summary.members.push_back({.name = concat("entry-northern-hall-b-", n),
@@ -42,6 +43,7 @@
                          .address = "10.102.103.104",
                          .incarnation = 7,
                          .sequence = 9,
+                         .age = 90s,
                          .leaving = true,
                          .store_lost = true,
                          .loads = all_loads(),
@@ -78,6 +80,7 @@
   CHECK(it->address == sent.address);
   CHECK(it->incarnation == 7);
   CHECK(it->sequence == 9);
+  CHECK(it->age == 90s);
   CHECK(it->leaving);
   CHECK(it->store_lost);
   CHECK(it->wants_reply);
@@ -98,7 +101,8 @@
   CHECK(it->sender_data_centre == sent.sender_data_centre);
   CHECK(it->sender_address == sent.sender_address);
   CHECK(it->summary.data_centre == sent.summary.data_centre);
-  CHECK(it->summary.gathered == 17s);
+  CHECK(it->summary.gatherer == 77);
+  CHECK(it->summary.sequence == 17);
   CHECK(it->summary.loads.size() == target_count);
   REQUIRE(it->summary.members.size() == vm_count);
   CHECK(it->summary.members[4].name == "entry-northern-hall-b-4");
