Prefer targets with an open connection while slots are to spare

Cause: 295 daemons spread requests over all targets of their data centres, so that a pair of daemon and target met each 10 s and idle connections, kept for 4 s, had closed: 0.71 new connections an arrival.

Ruled out: keeping idle connections longer; targets close them when they like, and a request on such a connection is lost.

Change: among targets at home with more than a quarter of their slots free, those with an open idle connection come first; the least loaded as before when few slots are left.

--- a/include/fulmarpitch/net/link-pool.h
+++ b/include/fulmarpitch/net/link-pool.h
@@ -32,6 +32,9 @@
   /// Gives an idle link that is still good, or a link yet to be connected.
   link_ptr take(const std::string& address);
 
+  /// \return whether an idle link to an address is kept.
+  bool keeps_link(const std::string& address) const;
+
   /// Keeps a link after a complete exchange, or closes it.
   void give_back(link_ptr it);
 
--- a/include/fulmarpitch/serving/placement.h
+++ b/include/fulmarpitch/serving/placement.h
@@ -30,6 +30,8 @@
   bool load_known = true;
   /// Requests of this daemon wait there, whatever the reports of others say.
   bool found_full = false;
+  /// A connection to it is open and idle.
+  bool linked = false;
   /// Requests of this client attempt already went there.
   bool tried = false;
   /// Breaks ties; differs from request to request.
@@ -95,7 +97,9 @@
   instant wait{};
 };
 
-/// Places an online request.
+/// Places an online request. Among targets at home with slots to spare, those
+/// with an open connection come first: many daemons share them, and each new
+/// connection costs the target and the request time.
 /// \param among the targets of its service that take work.
 /// \param options the weights.
 placement place_online(std::span<const candidate> among,
--- a/src/net/link-pool.cc
+++ b/src/net/link-pool.cc
@@ -22,6 +22,11 @@
   return std::make_shared<http_link>(io_, links_, address);
 }
 
+bool link_pool::keeps_link(const std::string& address) const {
+  auto it = idle_.find(address);
+  return it != idle_.end() && !it->second.empty();
+}
+
 void link_pool::give_back(link_ptr it) {
   it->expire_at(std::nullopt);
   auto& idle = idle_[it->address()];
--- a/src/serving/front.cc
+++ b/src/serving/front.cc
@@ -137,6 +137,7 @@
          .trusted = trust_in(row, others, now),
          .load_known = knows_loads(in.board, listed.data_centre, now),
          .found_full = full.contains(row.key),
+         .linked = in.target_links.keeps_link(listed.address),
          .tie = mix_hash(row.key, salt)});
     out.rows.push_back(&row);
   }
--- a/src/serving/placement.cc
+++ b/src/serving/placement.cc
@@ -59,6 +59,18 @@
   return std::tuple(it.away, it.load.online, it.tie);
 }
 
+/// A target with no more than one in so many of its slots free is nearly full:
+/// several daemons may take the last ones at once.
+constexpr std::uint32_t slots_per_spare = 4;
+
+/// Orders targets with free slots: those with slots to spare first, among them
+/// those with an open connection.
+auto by_spare_and_link(const candidate& it) {
+  auto nearly_full = free_slots(it) <= it.slots / slots_per_spare;
+  auto unlinked = !nearly_full && !it.linked;
+  return std::tuple(nearly_full, unlinked, it.load.total(), it.tie);
+}
+
 auto by_total(const candidate& it) {
   return std::tuple(it.load.total(), it.tie);
 }
@@ -89,7 +101,7 @@
         return usable(it) && it.away == away &&
                free_slots(it) > reserved_slots(it, slots_per_reserved);
       },
-      by_total);
+      by_spare_and_link);
   auto lent = away != distance::data_centre;
   if (free_slot) {
     return placement{.target = free_slot,
--- a/test/online-placement-test.cc
+++ b/test/online-placement-test.cc
@@ -29,6 +29,18 @@
   CHECK(it.reason == placement_reason::free_slot);
 }
 
+TEST_CASE("an open connection counts while there are slots to spare") {
+  auto linked = at(home, 5, 0);
+  linked.linked = true;
+  CHECK(place_online(std::vector{at(home, 2, 1), linked}, {}).target == 1);
+  linked.load.online = 6;
+  CHECK(place_online(std::vector{at(home, 2, 1), linked}, {}).target == 0);
+  CHECK(place_online(std::vector{at(home, 7, 0), linked}, {}).target == 1);
+  auto far_linked = at(far, 0, 0);
+  far_linked.linked = true;
+  CHECK(place_online(std::vector{at(home, 7, 0), far_linked}, {}).target == 0);
+}
+
 TEST_CASE("batch at home gives way before a slot is lent from far") {
   auto among = std::vector{at(home, 4, 4), at(home, 3, 5), at(far, 0, 0)};
   auto it = place_online(among, {});
