The end of a job stops its items while a listing waits for the store

Cause: news of a job's row was left aside while a listing of it was under way, which takes seconds when the store is slow; and a save that failed because the row had changed did not look at the new row. Items of an ended job went on.

Change: a row that says that the job was ended or has another owner stops the run at once; a save that fails by its condition takes the row that it is shown.

Test: job-run-test.

--- a/include/fulmarpitch/serving/job-run.h
+++ b/include/fulmarpitch/serving/job-run.h
@@ -211,6 +211,12 @@
 /// Notes that the store holds the progress of items.
 void take_saved(job_run& run, const progress_save& save);
 
+/// Tells whether a row that became known ends the run at once, also while a
+/// listing of it waits for the store: the job was ended, or has another owner.
+/// \param run the job.
+/// \param known the newest row known of it.
+bool must_stop(const job_run& run, const job_row& known);
+
 /// Takes a row that the store now holds for the job.
 /// \param run the job.
 /// \param row the store's row.
--- a/src/serving/job-run.cc
+++ b/src/serving/job-run.cc
@@ -189,6 +189,11 @@
   }
 }
 
+bool must_stop(const job_run& run, const job_row& known) {
+  return known.version > run.row.version &&
+         (known.ended || known.owner != run.row.owner);
+}
+
 bool take_row(job_run& run, const job_row& row) {
   if (row.version < run.row.version) return true;
   auto same_owner = row.owner == run.row.owner;
--- a/src/serving/job-system.cc
+++ b/src/serving/job-system.cc
@@ -236,9 +236,10 @@
   auto left = std::vector<std::string>();
   for (auto& [id, run] : in.runs) {
     const auto* known = find_job(in.book, id);
-    if (known == nullptr || run.listing) continue;
-    if (known->version > run.row.version && !take_row(run, *known))
-      left.push_back(id);
+    if (known == nullptr || known->version <= run.row.version) continue;
+    auto stops =
+        must_stop(run, *known) || (!run.listing && !take_row(run, *known));
+    if (stops) left.push_back(id);
   }
   for (const auto& id : left)
     drop_run(in, id, "another owner, or ended");
--- a/src/serving/job-writes.cc
+++ b/src/serving/job-writes.cc
@@ -91,6 +91,7 @@
     auto why = result.ok() ? std::string("the job's row has changed")
                            : std::string(result.status().message());
     in.log.add("saving_failed", {{"job", job}, {"why", why}});
+    if (result.ok()) take_conflict(in, job, *run, *result);
     co_return;
   }
   take_saved(*run, save);
--- a/test/job-run-test.cc
+++ b/test/job-run-test.cc
@@ -265,3 +265,28 @@
   CHECK(next_item(runs, 5s, 5s));
   CHECK_FALSE(next_save(run, 20, 1000));
 }
+
+TEST_CASE("the end of a job stops its items while a listing waits") {
+  auto run = sample();
+  run.listing = true;
+  auto known = run.row;
+  CHECK_FALSE(must_stop(run, known));
+  known.version = run.row.version + 1;
+  // The listing took effect, and its reply is still to come.
+  known.listed = {0};
+  CHECK_FALSE(must_stop(run, known));
+
+  SECTION("it was ended") {
+    known.ended = true;
+    CHECK(must_stop(run, known));
+  }
+  SECTION("it was given to another daemon") {
+    known.owner.name = "vm#2";
+    CHECK(must_stop(run, known));
+  }
+  SECTION("an older row says nothing") {
+    known.version = run.row.version - 1;
+    known.ended = true;
+    CHECK_FALSE(must_stop(run, known));
+  }
+}
