Add up loads and doubts in one pass, and ask rarely who is lost

Found by reading; the share of a processor was not measured.

Change: all_loads and all_doubts pass over the reports once. Owners are looked at each 200 ms.

Test: load-board-test compares the pass with the look at each target.

--- a/include/fulmarpitch/serving/load-board.h
+++ b/include/fulmarpitch/serving/load-board.h
@@ -183,6 +183,12 @@
 /// \param now the steady clock.
 target_load load_of(const load_board& board, std::uint64_t target, instant now);
 
+/// Adds up what is under way at all targets, in one pass over the reports.
+load_table all_loads(const load_board& board, instant now);
+
+/// Joins what other members hold against all targets, in one pass.
+doubt_table all_doubts(const load_board& board, instant now);
+
 /// Tells which share of its data centre's daemons this one hears, itself
 /// included. The others may use targets unseen.
 /// \return 1 when all are heard.
--- a/src/serving/front.cc
+++ b/src/serving/front.cc
@@ -111,6 +111,8 @@
   auto out = service_targets();
   auto salt = ++in.request_count;
   auto full = targets_found_full(in, now);
+  auto loads = all_loads(in.board, now);
+  auto doubts = all_doubts(in.board, now);
   auto region_of = [&](const std::string& data_centre) -> std::string_view {
     auto it = in.settings.regions.find(data_centre);
     return it == in.settings.regions.end() ? std::string_view() : it->second;
@@ -128,10 +130,13 @@
       away = distance::region;
     }
     if (away > farthest) continue;
-    auto others = doubt_of(in.board, row.key, now);
+    auto others = target_doubt();
+    if (auto it = doubts.find(row.key); it != doubts.end()) others = it->second;
     if (others.leaving) continue;
+    auto load = target_load();
+    if (auto it = loads.find(row.key); it != loads.end()) load = it->second;
     out.candidates.push_back(
-        {.load = load_of(in.board, row.key, now),
+        {.load = load,
          .slots = listed.slots,
          .away = away,
          .trusted = trust_in(row, others, now),
--- a/src/serving/front.h
+++ b/src/serving/front.h
@@ -131,6 +131,8 @@
   unordered_jobs unordered;
   change_signal book_changed;
   job_runs runs;
+  /// Owners of other daemons' jobs are looked at next, on the steady clock.
+  instant next_takeover{};
   /// Jobs that are being taken over or loaded.
   absl::flat_hash_set<std::string> adopting;
 
--- a/src/serving/job-system.cc
+++ b/src/serving/job-system.cc
@@ -42,6 +42,10 @@
 /// A job that was not taken over or read is tried again after this time.
 constexpr auto adoption_pause = std::chrono::milliseconds(200);
 
+/// Whether owners are lost is asked this often: they count as lost after 1.6 s
+/// of silence, and each daemon knows the jobs of all.
+constexpr auto takeover_period = std::chrono::milliseconds(200);
+
 /// An answer that is no stream is at most this long.
 constexpr std::size_t max_failure_bytes = std::size_t{1024} * 1024;
 
@@ -295,10 +299,13 @@
   auto self = takeover_candidate{.name = in.settings.name,
                                  .data_centre = in.settings.data_centre,
                                  .age = now - in.began};
+  auto looks_at_others = now >= in.next_takeover;
+  if (looks_at_others) in.next_takeover = now + takeover_period;
   for (const auto& [id, job] : in.book.jobs) {
-    if (!job.open() || in.runs.contains(id) || in.adopting.contains(id))
-      continue;
+    if (!job.open()) continue;
     auto mine = job.owner == in.self;
+    if (!mine && !looks_at_others) continue;
+    if (in.runs.contains(id) || in.adopting.contains(id)) continue;
     if (!mine && !should_take_over(in.board, self, job, now)) continue;
     in.adopting.insert(id);
     asio::co_spawn(
--- a/src/serving/load-board.cc
+++ b/src/serving/load-board.cc
@@ -41,6 +41,13 @@
       });
 }
 
+/// \return a doubt of a report with its times on the steady clock.
+target_doubt since(target_doubt it, instant heard) {
+  it.avoid_until += heard;
+  it.trial_until += heard;
+  return it;
+}
+
 void add_loads(load_table& to, const load_table& from) {
   for (const auto& [target, load] : from) {
     auto& sum = to[target];
@@ -129,10 +136,30 @@
     if (!load_counts(board, it, now)) continue;
     auto found = it.report.doubts.find(target);
     if (found == it.report.doubts.end()) continue;
-    auto doubt = found->second;
-    doubt.avoid_until += it.heard;
-    doubt.trial_until += it.heard;
-    out = join(out, doubt);
+    out = join(out, since(found->second, it.heard));
+  }
+  return out;
+}
+
+load_table all_loads(const load_board& board, instant now) {
+  auto out = board.own;
+  for (const auto& [name, it] : board.members) {
+    if (load_counts(board, it, now)) add_loads(out, it.report.loads);
+  }
+  for (const auto& [name, it] : board.summaries) {
+    if (load_counts(board, it, now)) add_loads(out, it.summary.loads);
+  }
+  return out;
+}
+
+doubt_table all_doubts(const load_board& board, instant now) {
+  auto out = doubt_table();
+  for (const auto& [name, it] : board.members) {
+    if (!load_counts(board, it, now)) continue;
+    for (const auto& [target, doubt] : it.report.doubts) {
+      auto& joint = out[target];
+      joint = join(joint, since(doubt, it.heard));
+    }
   }
   return out;
 }
--- a/test/load-board-test.cc
+++ b/test/load-board-test.cc
@@ -260,3 +260,30 @@
   CHECK(knows_loads(board, "dc2", 11s));
   CHECK_FALSE(knows_loads(board, "dc2", 12s));
 }
+
+TEST_CASE("one pass over the reports finds what each look at a target finds") {
+  auto board = load_board{.data_centre = "dc"};
+  board.own[1] = {.online = 1, .batch = 2};
+  for (auto n = std::uint64_t{0}; n < 50; ++n) {
+    auto it = report(std::to_string(n), 1);
+    it.loads[n % 7] = {.online = 1, .batch = static_cast<std::uint32_t>(n)};
+    it.doubts[n % 5] = {
+        .avoid_until = n * 10ms, .score = 1, .leaving = n % 10 == 3};
+    // Some are too old to count.
+    take_report(board, it, n * 50ms);
+  }
+  auto far = far_summary(1, 5);
+  far.loads[3] = {.online = 4};
+  take_summary(board, far, 2400ms);
+  auto now = instant(2500ms);
+  auto loads = all_loads(board, now);
+  auto doubts = all_doubts(board, now);
+  for (auto target = std::uint64_t{0}; target < 50; ++target) {
+    CHECK(loads[target].online == load_of(board, target, now).online);
+    CHECK(loads[target].batch == load_of(board, target, now).batch);
+    auto one = doubt_of(board, target, now);
+    CHECK(doubts[target].avoid_until == one.avoid_until);
+    CHECK(doubts[target].score == one.score);
+    CHECK(doubts[target].leaving == one.leaving);
+  }
+}
