End batch streams that bring bytes but no events

Cause: reading for the faults that operators of similar systems met: any byte counted as a sign of life, so that a target which sends one now and then kept an item for good; items have no deadline. Online requests end at their client's.

Change: an item whose stream brings no whole event for 10 s goes on elsewhere.

Test: slot-waits-test plays streams of bytes and slow sound ones.

--- a/include/fulmarpitch/serving/slot-waits.h
+++ b/include/fulmarpitch/serving/slot-waits.h
@@ -52,6 +52,15 @@
     std::span<const slot_use> uses, instant now,
     const slot_wait_options& options = {});
 
+/// A batch item's stream that brings no whole event for this long has stalled,
+/// even if bytes of one arrive. Engines pause streams for seconds when their
+/// memory runs out.
+inline constexpr auto longest_event_gap = std::chrono::seconds(10);
+
+/// \param last_event when the last whole event arrived, or the request was
+/// sent. \param now the steady clock. \return whether a stream has stalled.
+bool is_stalled(instant last_event, instant now);
+
 /// What this daemon does about waits.
 struct slot_relief {
   /// Batch items that wait in a target's queue and are taken out of it.
--- a/src/serving/attempt.cc
+++ b/src/serving/attempt.cc
@@ -98,6 +98,7 @@
   auto text = request_text(to, request);
   entry.started = event_loop::steady();
   entry.heard = entry.started;
+  entry.last_event = entry.started;
   auto sent = co_await link->send(text, request.body);
   auto head = absl::StatusOr<answer_head>(
       sent.ok() ? absl::UnknownError("no answer yet") : sent);
--- a/src/serving/daemon.cc
+++ b/src/serving/daemon.cc
@@ -114,6 +114,7 @@
     in.store_links.links().close_expired(now);
     in.daemon_links.links().close_expired(now);
     watch_targets(in, now, paused);
+    end_stalled_items(in, now);
     relieve_slots(in, now);
     run_jobs(in);
     in.log.flush();
--- a/src/serving/front.h
+++ b/src/serving/front.h
@@ -51,6 +51,8 @@
   instant started{};
   /// When the target last sent a byte of it; when it was sent, before that.
   instant heard{};
+  /// Batch: when the last whole event arrived; when it was sent, before that.
+  instant last_event{};
   /// The target has sent output: the request holds a slot.
   bool begun = false;
   /// Online: a batch item was stopped, so that this finds a slot.
@@ -280,6 +282,9 @@
 /// those that are being given away.
 void release_jobs(front& in);
 
+/// Ends the batch items whose streams bring bytes but no events.
+void end_stalled_items(front& in, instant now);
+
 /// Notes that a request failed because of a target.
 void doubt_target(front& in, const std::string& id, target_fault fault);
 
--- a/src/serving/job-system.cc
+++ b/src/serving/job-system.cc
@@ -97,6 +97,7 @@
     entry.note_output();
     events.feed(*piece);
     while (auto event = events.next()) {
+      entry.last_event = entry.heard;
       if (take_event(in, it, *event)) continue;
       link.close();
       co_return attempt_end::broken;
--- a/src/serving/slot-waits.cc
+++ b/src/serving/slot-waits.cc
@@ -45,6 +45,10 @@
   return out;
 }
 
+bool is_stalled(instant last_event, instant now) {
+  return now - last_event > longest_event_gap;
+}
+
 slot_relief relieve_waits(std::span<const slot_use> uses, instant now,
                           const slot_wait_options& options) {
   auto out = slot_relief();
--- a/src/serving/slots.cc
+++ b/src/serving/slots.cc
@@ -76,10 +76,21 @@
   }
 }
 
+void end_stalled_items(front& in, instant now) {
+  for (auto& it : in.attempts) {
+    if (it.kind != work_kind::batch || it.started.count() == 0) continue;
+    if (!it.link || !it.link->is_open() || !is_stalled(it.last_event, now))
+      continue;
+    in.log.add("item_stalled", {{"target", it.target}, {"job", it.job}});
+    it.link->close();
+    doubt_target(in, it.target, target_fault::silent);
+  }
+}
+
 void watch_targets(front& in, instant now, bool paused) {
   auto heard = absl::flat_hash_map<std::string, instant>();
   for (auto& it : in.attempts) {
-    if (paused) it.heard = now;
+    if (paused) it.heard = it.last_event = now;
     if (it.started.count() == 0) continue;
     auto& last = heard[it.target];
     last = std::max({last, it.heard, it.started});
--- a/test/slot-waits-test.cc
+++ b/test/slot-waits-test.cc
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include "fulmarpitch/net/event-splitter.h"
+
 using namespace fulmar;
 using namespace fulmar::serving;
 using namespace std::chrono_literals;
@@ -80,3 +82,29 @@
   CHECK(relief.taken_back == std::vector<std::size_t>{0});
   CHECK(relief.stopped.empty());
 }
+
+namespace {
+
+/// Plays a stream that brings the pieces in turn, one each `gap`, for a minute.
+/// \return whether it counts as stalled at any time.
+bool stalls(const std::vector<std::string>& pieces, instant gap) {
+  auto events = event_splitter();
+  auto last_event = instant();
+  auto n = std::size_t{0};
+  for (auto at = gap; at <= 60s; at += gap) {
+    if (is_stalled(last_event, at)) return true;
+    events.feed(pieces[n++ % pieces.size()]);
+    while (events.next())
+      last_event = at;
+  }
+  return false;
+}
+
+}  // namespace
+
+TEST_CASE("a stream of bytes without events ends, a slow sound one does not") {
+  CHECK(stalls({"d", "a", "t", "a", ": x"}, 1s));
+  CHECK(stalls({": still here\n"}, 3s));
+  CHECK_FALSE(stalls({"id: 1\ndata: x\n\n"}, 9s));
+  CHECK_FALSE(stalls({"id: 1\n", "data: x\n\n"}, 4s));
+}
