The soak's targets say in their answers that they leave

Cause: the header is new on the users' pages, and the soak did not know it.

Change: a target that is replaced says so up to 2 s before its entry does.

--- a/include/fulmarpitch/soak/soak-target.h
+++ b/include/fulmarpitch/soak/soak-target.h
@@ -42,6 +42,9 @@
 
   std::string address() const;
 
+  /// From now on each answer says that the target leaves.
+  void leave();
+
  private:
   struct state;
   std::shared_ptr<state> state_;
--- a/src/soak/soak-run.cc
+++ b/src/soak/soak-run.cc
@@ -38,6 +38,10 @@
 /// A leaving target gets nothing new after this time.
 constexpr auto drain_time = std::chrono::seconds(3);
 
+/// A target may say in its answers that it leaves this long before its entry
+/// does.
+constexpr auto longest_notice_ms = std::uint64_t{2000};
+
 /// The daemons' time from SIGTERM to their end.
 constexpr auto grace = std::chrono::seconds(8);
 
@@ -466,10 +470,14 @@
   it.store.put("op", "config", configuration_text(it.configuration));
 }
 
-void replace_target(run_state& it) {
+task<void> replace_target(run_state& it) {
   auto& leaving = it.targets[it.draw(it.targets.size())];
-  if (leaving.leaving.count() > 0) return;
+  if (leaving.leaving.count() > 0) co_return;
   add_target(it);
+  tell(it, concat("target ", leaving.id, " says that it leaves"));
+  leaving.server->leave();
+  co_await pause_for(std::chrono::milliseconds(it.draw(longest_notice_ms)));
+  if (leaving.leaving.count() > 0) co_return;
   leaving.leaving = event_loop::steady();
   tell(it, concat("target ", leaving.id, " leaves"));
   put_target(it, leaving);
@@ -507,7 +515,7 @@
       break;
     default:
       if (it.draw(2) == 0) {
-        replace_target(it);
+        co_await replace_target(it);
       } else {
         tell(it, "store drops its history");
         it.store.drop_history();
--- a/src/soak/soak-target.cc
+++ b/src/soak/soak-target.cc
@@ -50,20 +50,27 @@
   on_run report;
   std::unique_ptr<http_server> server;
   std::uint32_t running = 0;
+  bool leaving = false;
+
+  /// What an answer says of the request and of the target.
+  std::vector<http_header> headers_of(const std::string& request) const {
+    auto out = std::vector{header(platform::header::request_id, request)};
+    if (leaving) out.push_back(header(platform::header::target_leaving, "1"));
+    return out;
+  }
 
   void take(const std::shared_ptr<http_exchange>& client) {
     const auto& headers = client->request().headers;
     auto request =
         std::string(find_header(headers, platform::header::request_id));
-    auto echo = header(platform::header::request_id, request);
+    auto told = headers_of(request);
     if (find_header(headers, platform::header::expected_target) != options.id) {
-      client->respond({.status = 421, .headers = {echo}});
+      client->respond({.status = 421, .headers = std::move(told)});
       return;
     }
     if (running >= options.slots * 2) {
-      client->respond(
-          {.status = 503,
-           .headers = {echo, header(platform::header::not_run, "1")}});
+      told.push_back(header(platform::header::not_run, "1"));
+      client->respond({.status = 503, .headers = std::move(told)});
       return;
     }
     auto last = std::uint32_t{0};
@@ -76,10 +83,9 @@
       *gone = true;
       --self->running;
     });
-    client->start_stream(
-        {.headers = {echo,
-                     header(platform::header::target_signature, "s"),
-                     {"Content-Type", "text/event-stream"}}});
+    told.push_back(header(platform::header::target_signature, "s"));
+    told.push_back({"Content-Type", "text/event-stream"});
+    client->start_stream({.headers = std::move(told)});
     step({client, request, gone}, last + 1);
   }
 
@@ -120,6 +126,10 @@
 
 soak_target::~soak_target() = default;
 
+void soak_target::leave() {
+  state_->leaving = true;
+}
+
 std::string soak_target::address() const {
   return concat("127.0.0.1:", state_->server->port());
 }
