A request that is given up resets its connection

Ruled out: a request that was sent late: the deadline was checked by the tick.

Change: an exchange that ends without its whole answer is closed with a reset, which drops what has not arrived.

Test: http-link-test; with a plain close the other side read to the end of the stream, now it is reset.

--- a/include/fulmarpitch/net/http-link.h
+++ b/include/fulmarpitch/net/http-link.h
@@ -85,7 +85,8 @@
   /// Sets the moment at which the link is closed; nothing for no bound.
   void expire_at(std::optional<instant> when) { deadline_ = when; }
 
-  /// Closes the connection; operations under way fail.
+  /// Closes the connection; operations under way fail. An exchange without its
+  /// whole answer is reset, so that nothing more of it reaches the other side.
   void close();
   bool is_open() const { return socket_.is_open(); }
 
--- a/src/net/http-link.cc
+++ b/src/net/http-link.cc
@@ -145,6 +145,9 @@
 
 void http_link::close() {
   auto ignored = boost::system::error_code();
+  auto unfinished = sending_ && !(parser_ && parser_->is_done());
+  // A reset drops the part of a request that is still on its way.
+  if (unfinished) socket_.set_option(tcp::socket::linger(true, 0), ignored);
   socket_.close(ignored);
 }
 
