--- a/include/fulmarpitch/serving/load-board.h
+++ b/include/fulmarpitch/serving/load-board.h
@@ -125,9 +125,11 @@
 };
 
 /// Takes another daemon's report, unless a newer one is known. Of two lives of
-/// a daemon the younger one is alive; times of day do not count. \param board
-/// the board. \param it the report. \param now the steady clock. \return
-/// whether the report was new.
+/// a daemon the younger one counts, whatever the time of day.
+/// \param board the board.
+/// \param it the report.
+/// \param now the steady clock.
+/// \return whether the report was new.
 bool take_report(load_board& board, load_report it, instant now);
 
 /// Takes a summary of another data centre, unless a newer one of the same
