Align the buffer that datagrams are received into

Cause: loads became structs that FlatBuffers reads where they stand; the buffer was aligned only by the members before it.

Change: alignas on the buffer.

--- a/src/serving/reports.h
+++ b/src/serving/reports.h
@@ -89,7 +89,8 @@
   instant next_far_{};
   /// Turns through the receivers of data centres that are silent.
   std::size_t far_turn_ = 0;
-  std::array<char, max_datagram_bytes> input_{};
+  /// Aligned, as numbers in a datagram are read where they stand.
+  alignas(std::uint64_t) std::array<char, max_datagram_bytes> input_{};
 };
 
 }  // namespace fulmar::serving
