One function tells whether a target leaves; a summary is encoded when it is new

Three places asked the entry and the answers whether a target leaves; a summary that was to be passed on was encoded before it was known to be new; the formatter had joined the lines of a comment.

Change: is_leaving serves the three places; pass_on encodes what the board took. Behaviour and assertions stay.

--- a/include/fulmarpitch/serving/slot-waits.h
+++ b/include/fulmarpitch/serving/slot-waits.h
@@ -57,8 +57,9 @@
 /// memory runs out.
 inline constexpr auto longest_event_gap = std::chrono::seconds(10);
 
-/// \param last_event when the last whole event arrived, or the request was
-/// sent. \param now the steady clock. \return whether a stream has stalled.
+/// Tells whether a stream has stalled.
+/// \param last_event when the last whole event arrived, or it was sent.
+/// \param now the steady clock.
 bool is_stalled(instant last_event, instant now);
 
 /// What this daemon does about waits.
--- a/include/fulmarpitch/serving/targets.h
+++ b/include/fulmarpitch/serving/targets.h
@@ -110,6 +110,9 @@
 /// \return the ids of the removed ones.
 std::vector<std::string> drop_lapsed(target_table& table, instant now);
 
+/// \return whether a target takes nothing new, by its entry or its answers.
+bool is_leaving(const target_row& it);
+
 /// Finds a target.
 /// \return the row, or null.
 target_row* find_target(target_table& table, const std::string& id);
--- a/src/serving/front.cc
+++ b/src/serving/front.cc
@@ -119,10 +119,8 @@
   };
   for (const auto& [id, row] : in.targets.rows) {
     const auto& listed = row.listed;
-    if (listed.service != service || listed.leaving || row.seen.replaced ||
-        row.seen.leaving) {
+    if (listed.service != service || is_leaving(row) || row.seen.replaced)
       continue;
-    }
     auto away = distance::other_region;
     if (listed.data_centre == in.settings.data_centre) {
       away = distance::data_centre;
--- a/src/serving/reports.cc
+++ b/src/serving/reports.cc
@@ -243,15 +243,15 @@
   add_address(it.sender_address, it.sender_data_centre);
   note_heard(it.sender_address, now);
   auto direct = it.sender_data_centre == it.summary.data_centre;
-  auto forwarded = direct
-                       ? encode_summary({front_.settings.data_centre,
-                                         front_.settings.address, it.summary})
-                       : std::string();
+  auto gathered_in = it.summary.data_centre;
   if (!take_summary(front_.board, std::move(it.summary), now)) return;
   yield_batch(front_);
   if (!direct) return;
+  auto bytes =
+      encode_summary({front_.settings.data_centre, front_.settings.address,
+                      front_.board.summaries.at(gathered_in).summary});
   for (auto& [address, to] : peers_) {
-    if (is_heard_near(to, now)) send(to, forwarded);
+    if (is_heard_near(to, now)) send(to, bytes);
   }
 }
 
--- a/src/serving/targets.cc
+++ b/src/serving/targets.cc
@@ -86,6 +86,10 @@
   return out;
 }
 
+bool is_leaving(const target_row& it) {
+  return it.listed.leaving || it.seen.leaving;
+}
+
 target_row* find_target(target_table& table, const std::string& id) {
   auto it = table.rows.find(id);
   return it == table.rows.end() ? nullptr : &it->second;
@@ -100,7 +104,7 @@
   auto out = doubt_table();
   for (const auto& [id, row] : table.rows) {
     auto doubt = row.seen.doubt;
-    if (row.listed.leaving || row.seen.leaving) {
+    if (is_leaving(row)) {
       out[row.key] = {.avoid_until = leaving_notice, .leaving = true};
     } else if (trust_at(doubt, now) != trust::full) {
       doubt.avoid_until -= now;
@@ -112,8 +116,7 @@
 }
 
 trust trust_in(const target_row& it, const target_doubt& others, instant now) {
-  if (it.listed.leaving || it.seen.replaced || it.seen.leaving)
-    return trust::none;
+  if (is_leaving(it) || it.seen.replaced) return trust::none;
   return trust_at(join(it.seen.doubt, others), now);
 }
 
