Name a request's content in the log lines of its attempts

An attempt line named the client attempt alone, which is new with each send, so that the log could not show one request that ends target after target. The line now has a hash of method, path and body.

--- a/src/serving/attempt.cc
+++ b/src/serving/attempt.cc
@@ -5,6 +5,7 @@
 
 #include "fulmarpitch/core/errors.h"
 #include "fulmarpitch/core/text.h"
+#include "fulmarpitch/serving/crash-book.h"
 #include "platform/names.h"
 
 namespace fulmar::serving {
@@ -67,10 +68,12 @@
 
 }  // namespace
 
-void log_attempt(front& in, std::string_view request, const target& to,
+void log_attempt(front& in, const target_request& request, const target& to,
                  const attempt_result& result) {
+  auto content = content_key(request.method, request.path, request.body);
   in.log.add("attempt",
-             {{"request_id", request},
+             {{"request_id", request.id},
+              {"content", hex(content)},
               {"target", to.id},
               {"address", to.address},
               {"outcome", name_in(attempt_outcome_names, result.outcome)},
--- a/src/serving/attempt.h
+++ b/src/serving/attempt.h
@@ -49,7 +49,8 @@
 };
 
 /// Writes the line about an attempt that brought no answer.
-void log_attempt(front& in, std::string_view request, const target& to,
+/// \param request what was sent.
+void log_attempt(front& in, const target_request& request, const target& to,
                  const attempt_result& result);
 
 /// Sends a request to a target and reads the head of its answer.
--- a/src/serving/online.cc
+++ b/src/serving/online.cc
@@ -220,7 +220,7 @@
   auto link = entry.row().link;
   if (attempt.outcome != attempt_outcome::answered) {
     it.attempt = nullptr;
-    log_attempt(in, it.id, to, attempt);
+    log_attempt(in, outgoing, to, attempt);
     if (attempt.outcome == attempt_outcome::broken) ++it.runs;
     co_return attempt.outcome == attempt_outcome::broken ? serve_end::broken
                                                          : serve_end::not_run;
