Hold back requests under which three targets ended

Callers saw targets vanish with up to eight requests each, again and again, while a request that crashes targets was sent on. fulmar-front kept nothing about the requests under which targets ended: each send has a new id, may arrive at any daemon, and was placed like any other. The class of fault is a retry without a bound across processes: each of them keeps its own bound, and nobody keeps the sum.

Now each end is an event of the request's content (method, path and body), in a row of its own in the store's table 'crashes', which all daemons follow. Rows are written without a condition and name the attempt, so that a write that is sent twice counts once. After three ends the content is answered 503 with Retry-After, at once and before anything is sent. Without the store no run is granted.

--- a/src/serving/attempt.cc
+++ b/src/serving/attempt.cc
@@ -68,6 +68,11 @@
 
 }  // namespace
 
+bool is_target_lost(const live_attempt& entry, const absl::Status& why) {
+  if (entry.stopped) return false;
+  return entry.fell_silent || code_of(why) != error_code::deadline_exceeded;
+}
+
 void log_attempt(front& in, const target_request& request, const target& to,
                  const attempt_result& result) {
   auto content = content_key(request.method, request.path, request.body);
@@ -111,7 +116,9 @@
     auto own_doing = entry.stopped ||
                      code_of(head.status()) == error_code::deadline_exceeded;
     if (!own_doing) doubt_target(in, to.id, target_fault::broke_off);
-    co_return ended(attempt_outcome::broken, why);
+    auto out = ended(attempt_outcome::broken, why);
+    out.target_lost = is_target_lost(entry, head.status());
+    co_return out;
   }
   entry.heard = event_loop::steady();
   auto leaves =
--- a/src/serving/attempt.h
+++ b/src/serving/attempt.h
@@ -46,8 +46,16 @@
   answer_head head;
   /// Why there is no answer.
   std::string reason;
+  /// The target may have ended while it ran the request.
+  bool target_lost = false;
 };
 
+/// Tells whether a connection broke because its target may have ended, and not
+/// by this daemon's doing.
+/// \param entry the attempt.
+/// \param why how the connection failed.
+bool is_target_lost(const live_attempt& entry, const absl::Status& why);
+
 /// Writes the line about an attempt that brought no answer.
 /// \param request what was sent.
 void log_attempt(front& in, const target_request& request, const target& to,
--- a/src/serving/crash-book.cc
+++ b/src/serving/crash-book.cc
@@ -1,8 +1,68 @@
 #include "fulmarpitch/serving/crash-book.h"
 
+#include <absl/strings/numbers.h>
+
+#include <algorithm>
+
+#include "fulmarpitch/core/invariant.h"
 #include "fulmarpitch/core/rendezvous.h"
+#include "fulmarpitch/core/text.h"
 
 namespace fulmar::serving {
+namespace {
+
+constexpr char key_separator = '.';
+
+bool is_held(const crash_book& book, const crash_record& it) {
+  return !it.sound && it.ends.size() >= book.options.most_ends;
+}
+
+bool has_lapsed(const crash_book& book, const crash_record& it, instant now) {
+  auto kept = is_held(book, it) ? book.options.hold : book.options.memory;
+  return now - it.last > kept;
+}
+
+void make_room(crash_book& book) {
+  if (book.records.size() < book.options.max_records) return;
+  auto held = [&](const auto& it) { return is_held(book, it.second); };
+  // A content that is held back is dropped only when all others are, too.
+  auto oldest = std::min_element(book.records.begin(), book.records.end(),
+                                 [&](const auto& a, const auto& b) {
+                                   return std::pair(held(a), a.second.last) <
+                                          std::pair(held(b), b.second.last);
+                                 });
+  book.records.erase(oldest);
+}
+
+/// Names all that was noted of a content.
+std::vector<std::string> keys_of(std::uint64_t content,
+                                 const crash_record& it) {
+  auto out = std::vector<std::string>();
+  for (auto number : it.ends)
+    out.push_back(crash_key({.content = content, .number = number}));
+  for (auto number = std::uint32_t{0}; number < it.trials; ++number) {
+    out.push_back(crash_key({.content = content,
+                             .kind = crash_event_kind::trial,
+                             .number = number}));
+  }
+  if (it.sound) {
+    out.push_back(
+        crash_key({.content = content, .kind = crash_event_kind::sound}));
+  }
+  return out;
+}
+
+std::string_view take_part(std::string_view& text) {
+  auto part = text.substr(0, text.find(key_separator));
+  text.remove_prefix(std::min(text.size(), part.size() + 1));
+  return part;
+}
+
+bool parse_hex(std::string_view text, std::uint64_t& out) {
+  return absl::SimpleHexAtoi(absl::string_view(text.data(), text.size()), &out);
+}
+
+}  // namespace
 
 std::uint64_t content_key(std::string_view method, std::string_view path,
                           std::string_view body) {
@@ -10,4 +70,70 @@
                   stable_hash(body));
 }
 
+std::string crash_key(const crash_event& it) {
+  return concat(hex(it.content), ".", name_in(crash_event_kind_names, it.kind),
+                ".", hex(it.number));
+}
+
+std::optional<crash_event> parse_crash_key(std::string_view key) {
+  auto out = crash_event();
+  auto content = take_part(key);
+  auto kind = value_in(crash_event_kind_names, take_part(key));
+  if (!kind || !parse_hex(content, out.content) || !parse_hex(key, out.number))
+    return std::nullopt;
+  out.kind = *kind;
+  return out;
+}
+
+void note_event(crash_book& book, const crash_event& it) {
+  if (!book.records.contains(it.content)) make_room(book);
+  auto& record = book.records[it.content];
+  record.last = std::max(record.last, it.at);
+  switch (it.kind) {
+    case crash_event_kind::end:
+      record.ends.insert(it.number);
+      break;
+    case crash_event_kind::trial:
+      record.trials =
+          std::max(record.trials, static_cast<std::uint32_t>(it.number) + 1);
+      break;
+    case crash_event_kind::sound:
+      record.sound = true;
+      break;
+  }
+}
+
+run_permit judge(const crash_book& book, std::uint64_t content, instant now) {
+  auto found = book.records.find(content);
+  if (found == book.records.end()) return {};
+  const auto& it = found->second;
+  if (!is_held(book, it) || has_lapsed(book, it, now)) return {};
+  const auto& pauses = book.options.trial_pauses;
+  auto last_trial = it.trials >= pauses.size();
+  auto pause = last_trial ? book.options.hold : pauses[it.trials];
+  auto wait = it.last + pause - now;
+  if (wait > instant{} || last_trial) {
+    return {.what = run_permit::kind::held,
+            .retry_after = std::max(wait, instant{})};
+  }
+  return {.what = run_permit::kind::trial, .trial = it.trials};
+}
+
+bool is_in_doubt(const crash_book& book, std::uint64_t content) {
+  auto it = book.records.find(content);
+  return it != book.records.end() && !it->second.sound;
+}
+
+std::vector<std::string> forget_lapsed(crash_book& book, instant now) {
+  auto out = std::vector<std::string>();
+  absl::erase_if(book.records, [&](const auto& row) {
+    const auto& [content, it] = row;
+    if (!has_lapsed(book, it, now)) return false;
+    for (auto& key : keys_of(content, it))
+      out.push_back(std::move(key));
+    return true;
+  });
+  return out;
+}
+
 }  // namespace fulmar::serving
--- /dev/null
+++ b/src/serving/crash-system.cc
@@ -0,0 +1,188 @@
+#include "crash-system.h"
+
+#include <absl/strings/numbers.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "fulmarpitch/core/rendezvous.h"
+#include "fulmarpitch/core/text.h"
+
+namespace fulmar::serving {
+namespace {
+
+/// Pause after a failed write; the store's outages last seconds.
+constexpr auto write_pause = std::chrono::milliseconds(250);
+
+/// Entries of one transaction; the store takes 100.
+constexpr std::size_t max_entries = 100;
+
+/// Rows that wait for the store. The oldest are dropped beyond that: the events
+/// themselves stay in this daemon's book.
+constexpr std::size_t max_waiting = 4096;
+
+row_name crash_row_name(std::string key) {
+  return {.table = crash_table, .key = std::move(key)};
+}
+
+std::string encode_time(const front& in, instant at) {
+  if (!in.store_clock_offset) return {};
+  return concat((at + *in.store_clock_offset).count());
+}
+
+/// \return a row's time on the steady clock; now when it names none.
+instant decode_time(const front& in, std::string_view value) {
+  auto now = event_loop::steady();
+  auto count = std::int64_t{0};
+  auto text = absl::string_view(value.data(), value.size());
+  if (!in.store_clock_offset || !absl::SimpleAtoi(text, &count)) return now;
+  return std::min(instant(count) - *in.store_clock_offset, now);
+}
+
+void wait_for_store(front& in, crash_row_change it) {
+  auto& waiting = in.crash_rows.waiting;
+  if (waiting.size() >= max_waiting) {
+    in.log.add("crash_row_dropped", {{"key", waiting.front().key}});
+    waiting.pop_front();
+  }
+  waiting.push_back(std::move(it));
+}
+
+void note_and_write(front& in, const crash_event& it) {
+  note_event(in.crashes, it);
+  wait_for_store(in, {.key = crash_key(it), .value = encode_time(in, it.at)});
+}
+
+task<void> write_rows(front& in, std::vector<crash_row_change> changes) {
+  auto transaction = row_transaction();
+  for (const auto& it : changes) {
+    auto name = crash_row_name(it.key);
+    if (it.removed) {
+      transaction.removals.push_back(std::move(name));
+    } else {
+      transaction.writes.push_back(
+          {.name = std::move(name), .value = it.value});
+    }
+  }
+  auto result = co_await in.store.commit(std::move(transaction));
+  auto& rows = in.crash_rows;
+  rows.writing = false;
+  if (result.ok() && result->committed) co_return;
+  // The same rows again change nothing if the store wrote them after all.
+  rows.waiting.insert(rows.waiting.begin(),
+                      std::make_move_iterator(changes.begin()),
+                      std::make_move_iterator(changes.end()));
+  rows.retry_after = event_loop::steady() + write_pause;
+  auto why = result.ok() ? std::string("the store refused")
+                         : std::string(result.status().message());
+  in.log.add("crash_rows_not_written",
+             {{"rows", std::uint64_t{rows.waiting.size()}}, {"why", why}});
+}
+
+void log_held(front& in, std::uint64_t content, std::string_view request,
+              const run_permit& permit) {
+  const auto& it = in.crashes.records.at(content);
+  in.log.add("request_held",
+             {{"request_id", request},
+              {"content", hex(content)},
+              {"ends", std::uint64_t{it.ends.size()}},
+              {"trials", std::uint64_t{it.trials}},
+              {"retry_after_us", std::int64_t{permit.retry_after.count()}}});
+}
+
+/// Takes a trial, unless another daemon has it.
+task<bool> take_trial(front& in, crash_event trial) {
+  auto name = crash_row_name(crash_key(trial));
+  auto change = row_transaction();
+  change.expected.push_back({.name = name});
+  change.writes.push_back(
+      {.name = std::move(name), .value = encode_time(in, trial.at)});
+  auto result = co_await in.store.commit(std::move(change));
+  auto known = result.ok();
+  auto taken = known && result->committed;
+  // Of a write without an answer nobody knows whether it was done.
+  if (known) note_event(in.crashes, trial);
+  in.log.add("trial", {{"content", hex(trial.content)},
+                       {"number", trial.number},
+                       {"store_answered", known},
+                       {"taken", taken}});
+  co_return taken;
+}
+
+}  // namespace
+
+void note_target_end(front& in, std::uint64_t content, std::string_view request,
+                     std::string_view target) {
+  auto now = event_loop::steady();
+  // A resumed request ends several targets under one id.
+  auto number = mix_hash(stable_hash(request), stable_hash(target));
+  note_and_write(in, {.content = content, .number = number, .at = now});
+  const auto& it = in.crashes.records.at(content);
+  in.log.add("target_ended", {{"request_id", request},
+                              {"content", hex(content)},
+                              {"target", target},
+                              {"ends", std::uint64_t{it.ends.size()}},
+                              {"sound", it.sound}});
+}
+
+void note_answer(front& in, std::uint64_t content) {
+  if (!is_in_doubt(in.crashes, content)) return;
+  note_and_write(in, {.content = content,
+                      .kind = crash_event_kind::sound,
+                      .at = event_loop::steady()});
+  in.log.add("content_sound", {{"content", hex(content)}});
+}
+
+task<run_permit> ask_to_run(front& in, std::uint64_t content,
+                            std::string request) {
+  auto now = event_loop::steady();
+  auto permit = judge(in.crashes, content, now);
+  if (permit.what == run_permit::kind::trial) {
+    auto trial = crash_event{.content = content,
+                             .kind = crash_event_kind::trial,
+                             .number = permit.trial,
+                             .at = now};
+    auto taken = co_await take_trial(in, trial);
+    if (taken) co_return permit;
+    permit = {.what = run_permit::kind::held,
+              .retry_after = in.crashes.options.trial_pauses.front()};
+  }
+  if (permit.what == run_permit::kind::held)
+    log_held(in, content, request, permit);
+  co_return permit;
+}
+
+void take_crash_rows(front& in, const std::vector<stored_row>& rows) {
+  for (const auto& it : rows) {
+    auto event = parse_crash_key(it.name.key);
+    // A removed row is as old as what this daemon forgets by itself.
+    if (!event || it.removed) continue;
+    event->at = decode_time(in, it.value);
+    note_event(in.crashes, *event);
+  }
+}
+
+void write_crash_rows(front& in, instant now) {
+  auto& rows = in.crash_rows;
+  if (rows.writing || rows.waiting.empty() || now < rows.retry_after) return;
+  rows.writing = true;
+  auto n = std::min(rows.waiting.size(), max_entries);
+  auto end = rows.waiting.begin() + static_cast<std::ptrdiff_t>(n);
+  auto changes = std::vector(std::make_move_iterator(rows.waiting.begin()),
+                             std::make_move_iterator(end));
+  rows.waiting.erase(rows.waiting.begin(), end);
+  asio::co_spawn(in.io, write_rows(in, std::move(changes)), asio::detached);
+}
+
+void forget_crashes(front& in, instant now) {
+  auto keys = forget_lapsed(in.crashes, now);
+  if (keys.empty()) return;
+  auto members = live_members(in.board, "", now);
+  members.push_back(in.settings.name);
+  for (auto& it : keys) {
+    if (rendezvous_owner(it, members) != in.settings.name) continue;
+    wait_for_store(in, {.key = std::move(it), .removed = true});
+  }
+}
+
+}  // namespace fulmar::serving
--- a/src/serving/daemon.cc
+++ b/src/serving/daemon.cc
@@ -4,6 +4,7 @@
 
 #include <utility>
 
+#include "crash-system.h"
 #include "front.h"
 #include "fulmarpitch/core/errors.h"
 #include "fulmarpitch/core/text.h"
@@ -67,6 +68,7 @@
                 count("attempts", in.attempts.size()),
                 count("jobs_run", in.runs.size()),
                 count("jobs_known", in.book.jobs.size()),
+                count("crash_records", in.crashes.records.size()),
                 count("log_lines_dropped", in.log.dropped()));
 }
 
@@ -101,6 +103,7 @@
   start(follow_configuration(in));
   start(follow_targets(in));
   start(follow_jobs(in));
+  start(follow_crashes(in));
   start(find_members(in));
   in.loop.every(tick_period, [&in] {
     auto now = event_loop::steady();
@@ -117,6 +120,7 @@
     end_stalled_items(in, now);
     relieve_slots(in, now);
     run_jobs(in);
+    write_crash_rows(in, now);
     in.log.flush();
   });
   in.loop.every(slow_period, [&in] {
@@ -127,6 +131,7 @@
     drop_silent_members(in.board, now);
     drop_lapsed_targets(in);
     remove_outdated_jobs(in);
+    forget_crashes(in, now);
   });
 }
 
--- a/src/serving/discovery.cc
+++ b/src/serving/discovery.cc
@@ -8,6 +8,7 @@
 #include <functional>
 #include <utility>
 
+#include "crash-system.h"
 #include "front.h"
 #include "fulmarpitch/core/errors.h"
 #include "fulmarpitch/core/invariant.h"
@@ -40,6 +41,11 @@
 constexpr auto job_wait = std::chrono::milliseconds(700);
 constexpr auto job_gather = std::chrono::milliseconds(300);
 
+/// Waits for events about crashes: a request that ended three targets may go
+/// to a few more within 4 s.
+constexpr auto crash_wait = std::chrono::milliseconds(900);
+constexpr auto crash_gather = std::chrono::milliseconds(100);
+
 /// Table in which daemons make themselves known.
 constexpr const char* member_table = "members";
 
@@ -267,6 +273,19 @@
                      .shared = true});
 }
 
+task<void> follow_crashes(front& in) {
+  return follow(in,
+                {.what = "crashes",
+                 .read_whole = [&in] { return read_part(in, crash_table, ""); },
+                 .table = crash_table,
+                 .wait = crash_wait,
+                 .gather = crash_gather,
+                 .take = [&in](const std::vector<stored_row>& rows,
+                               bool /*whole*/) { take_crash_rows(in, rows); },
+                 .state = &in.feeds.crashes,
+                 .shared = true});
+}
+
 task<void> find_members(front& in) {
   auto announced = false;
   for (;;) {
--- a/src/serving/front.h
+++ b/src/serving/front.h
@@ -7,6 +7,7 @@
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
 
+#include <deque>
 #include <list>
 #include <memory>
 #include <optional>
@@ -18,6 +19,7 @@
 #include "fulmarpitch/net/coroutine.h"
 #include "fulmarpitch/net/http.h"
 #include "fulmarpitch/net/link-pool.h"
+#include "fulmarpitch/serving/crash-book.h"
 #include "fulmarpitch/serving/event-log.h"
 #include "fulmarpitch/serving/feed.h"
 #include "fulmarpitch/serving/job-run.h"
@@ -57,6 +59,8 @@
   bool begun = false;
   /// Online: a batch item was stopped, so that this finds a slot.
   bool relieved = false;
+  /// The target sent nothing to anybody here for its patience.
+  bool fell_silent = false;
   /// This daemon closed the link: the client went, or batch gave way.
   bool stopped = false;
   /// Batch: queues that the item was taken out of since its last event.
@@ -83,6 +87,21 @@
 /// How a table of the store is followed.
 struct table_follower;
 
+/// A row about crashes that the store should hold or lose.
+struct crash_row_change {
+  std::string key;
+  std::string value;
+  bool removed = false;
+};
+
+/// Rows about crashes on their way to the store.
+struct crash_row_queue {
+  std::deque<crash_row_change> waiting;
+  bool writing = false;
+  /// After a failed write, the next one starts no earlier.
+  instant retry_after{};
+};
+
 /// The state of a daemon.
 struct front {
   front(event_loop& event_loop, vm_settings vm);
@@ -107,6 +126,7 @@
     feed_state configuration;
     feed_state targets;
     feed_state jobs;
+    feed_state crashes;
   } feeds;
   /// The tables that are followed; each lives as long as the process.
   std::vector<const table_follower*> followed;
@@ -120,6 +140,10 @@
   /// Clients who were refused and come back.
   return_book returns;
 
+  /// Requests under which targets ended.
+  crash_book crashes;
+  crash_row_queue crash_rows;
+
   link_pool target_links;
   link_pool store_links;
   /// To other daemons, for calls that are passed on.
@@ -242,6 +266,8 @@
 void drop_lapsed_targets(front& in);
 /// Keeps the book of jobs up to date.
 task<void> follow_jobs(front& in);
+/// Keeps the book of crashes up to date.
+task<void> follow_crashes(front& in);
 /// Takes changes that another daemon read from the store.
 void take_feed(front& in, feed_page page);
 /// Makes this daemon known to others and learns of them.
--- a/src/serving/online.cc
+++ b/src/serving/online.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "attempt.h"
+#include "crash-system.h"
 #include "front.h"
 #include "fulmarpitch/core/errors.h"
 #include "fulmarpitch/core/rendezvous.h"
@@ -48,11 +49,15 @@
   std::string id;
   std::string host;
   std::string fields;
+  /// Of the book of crashes; reckoned when the book is not empty.
+  std::optional<std::uint64_t> content;
   instant arrived{};
   instant deadline{};
   std::optional<instant> first_byte;
   /// Targets that the request may have run on.
   std::uint32_t runs = 0;
+  /// It was granted a trial, which no target has run yet.
+  bool holds_trial = false;
   absl::flat_hash_set<std::string> tried;
   std::uint64_t last_event = 0;
   bool head_sent = false;
@@ -71,6 +76,14 @@
   std::string target;
 };
 
+std::uint64_t content_of(online_request& it) {
+  if (!it.content) {
+    const auto& request = it.client->request();
+    it.content = content_key(request.method, request.target, request.body);
+  }
+  return *it.content;
+}
+
 /// How serving at one target ended.
 enum class serve_end { answered, not_run, broken };
 
@@ -122,6 +135,11 @@
                      *it.first_byte - it.arrived);
 }
 
+/// Notes that a target answered, if targets ended under the request before.
+void note_answered(front& in, online_request& it) {
+  if (!in.crashes.records.empty()) note_answer(in, content_of(it));
+}
+
 /// Passes on whole events, so that a stream that breaks goes on behind the last
 /// one.
 void pass_events(online_request& it, event_splitter& events) {
@@ -148,6 +166,8 @@
       auto late = code_of(piece.status()) == error_code::deadline_exceeded;
       if (!entry.stopped && !late)
         doubt_target(in, it.target, target_fault::broke_off);
+      if (is_target_lost(entry, piece.status()))
+        note_target_end(in, content_of(it), it.id, it.target);
       // Bytes of an event that broke off must not join those of the next run.
       co_return serve_end::broken;
     }
@@ -162,6 +182,7 @@
     }
   }
   if (!events.rest().empty()) co_return serve_end::broken;
+  note_answered(in, it);
   it.client->finish();
   co_return serve_end::answered;
 }
@@ -179,7 +200,12 @@
   if (success && it.path->kind == route_kind::stream)
     co_return co_await pass_stream(in, it, link, head, entry);
   auto body = co_await link.read_rest(max_answer_bytes);
-  if (!body.ok()) co_return serve_end::broken;
+  if (!body.ok()) {
+    if (is_target_lost(entry, body.status()))
+      note_target_end(in, content_of(it), it.id, it.target);
+    co_return serve_end::broken;
+  }
+  note_answered(in, it);
   auto again = head.status >= first_server_error && it.path->repeatable() &&
                it.runs < it.path->attempts;
   if (again || it.head_sent) co_return serve_end::broken;
@@ -197,6 +223,12 @@
   in.slot_time += (took - in.slot_time) / slot_time_weight;
 }
 
+/// Counts a target that the request may have run on.
+void note_run(online_request& it) {
+  ++it.runs;
+  it.holds_trial = false;
+}
+
 task<serve_end> serve_at(front& in, online_request& it, target to) {
   auto claim = load_claim(in, stable_hash(to.id), work_kind::online);
   yield_batch(in);
@@ -221,11 +253,13 @@
   if (attempt.outcome != attempt_outcome::answered) {
     it.attempt = nullptr;
     log_attempt(in, outgoing, to, attempt);
-    if (attempt.outcome == attempt_outcome::broken) ++it.runs;
+    if (attempt.outcome == attempt_outcome::broken) note_run(it);
+    if (attempt.target_lost)
+      note_target_end(in, content_of(it), it.id, it.target);
     co_return attempt.outcome == attempt_outcome::broken ? serve_end::broken
                                                          : serve_end::not_run;
   }
-  ++it.runs;
+  note_run(it);
   auto end = co_await pass_answer(in, it, *link, attempt.head, entry.row());
   it.attempt = nullptr;
   if (end != serve_end::answered) co_return end;
@@ -236,12 +270,13 @@
 }
 
 /// Ends a request that no target will answer.
-void give_up(online_request& it, instant now) {
+/// \param why what a request that did not run is told.
+void give_up(online_request& it, instant now,
+             std::string_view why = "no target has a free slot") {
   if (it.head_sent) {
     it.client->abort();
   } else if (it.runs == 0) {
-    refuse(*it.client, status_not_run, "no target has a free slot",
-           it.retry_after);
+    refuse(*it.client, status_not_run, why, it.retry_after);
   } else {
     refuse(*it.client, now >= it.deadline ? status_timeout : status_bad_gateway,
            "the target did not answer");
@@ -304,9 +339,20 @@
       give_up(it, now);
       co_return "refused";
     }
+    auto to = row->listed;
+    if (!in.crashes.records.empty() && !it.holds_trial) {
+      auto permit = co_await ask_to_run(in, content_of(it), it.id);
+      if (permit.what == run_permit::kind::held) {
+        it.retry_after = permit.retry_after;
+        give_up(it, now, "targets ended under this request");
+        co_return "held";
+      }
+      it.holds_trial = permit.what == run_permit::kind::trial;
+      if (it.client_gone) co_return "client_gone";
+    }
     it.target = id;
     it.tried.insert(id);
-    auto end = co_await serve_at(in, it, row->listed);
+    auto end = co_await serve_at(in, it, std::move(to));
     if (it.client_gone) co_return "client_gone";
     if (end == serve_end::answered) co_return "answered";
     in.figures.add(counter::retries, 1, in.figures.of(it.path->name, ""));
--- a/src/serving/slots.cc
+++ b/src/serving/slots.cc
@@ -98,6 +98,7 @@
   for (auto& it : in.attempts) {
     auto last = heard.find(it.target);
     if (last == heard.end() || now - last->second < it.patience) continue;
+    it.fell_silent = true;
     if (auto* row = find_target(in.targets, it.target);
         row != nullptr && trust_at(row->seen.doubt, now) != trust::none) {
       doubt_target(in, it.target, target_fault::silent);
--- a/test/crashing-request-test.cc
+++ b/test/crashing-request-test.cc
@@ -17,6 +17,15 @@
   };
 }
 
+/// Ends in the midst of its first answers, and is sound afterwards.
+scripted_target::script unlucky(int* ends_left) {
+  return [ends_left](const std::string& head) {
+    if ((*ends_left)-- <= 0) return whole(head);
+    return scripted_answer{.bytes = stream_head(id_of(head)) + chunk(event(1)),
+                           .close = true};
+  };
+}
+
 std::size_t poison_runs(const fixture& it) {
   auto out = std::size_t{0};
   for (const auto& target : it.targets) {
@@ -57,3 +66,66 @@
   }
   CHECK(poison_runs(it) <= known + most_retries);
 }
+
+TEST_CASE("a request that ended three targets stays known to new daemons") {
+  auto& it = make_fixture();
+  for (auto n = 0; n < 4; ++n)
+    it.add_target(crashing());
+  it.start();
+  for (auto n = 0; poison_runs(it) < ends_until_known; ++n)
+    (void)it.post("/again/poison", concat("p", n));
+  auto known = poison_runs(it);
+  it.second = it.start_daemon("vm-2", "127.0.0.2", it.store.address());
+  it.client_address = concat("127.0.0.2:", it.ports.client);
+  it.run_for(500ms);
+  auto answer = it.post("/again/poison", "late");
+  REQUIRE(answer.ok());
+  CHECK(answer->status == 503);
+  CHECK_FALSE(find_header(answer->headers, "Retry-After").empty());
+  CHECK(poison_runs(it) == known);
+  auto other = it.post("/again/sound", "other");
+  REQUIRE(other.ok());
+  CHECK(other->body == whole_text());
+}
+
+TEST_CASE("a sound request that was there at three ends is served again") {
+  static auto ends_left = 3;
+  auto& it = make_fixture();
+  for (auto n = 0; n < 4; ++n)
+    it.add_target(unlucky(&ends_left));
+  it.start(true);
+  for (auto n = 0; ends_left > 0; ++n)
+    (void)it.post("/once/1", concat("a", n));
+  auto held = it.post("/once/1", "held");
+  REQUIRE(held.ok());
+  CHECK(held->status == 503);
+  auto answer = absl::StatusOr<http_response>(held);
+  for (auto n = 0; answer.ok() && answer->status == 503 && n < 40; ++n) {
+    it.run_for(100ms);
+    answer = it.post("/once/1", concat("b", n));
+  }
+  REQUIRE(answer.ok());
+  CHECK(answer->body == whole_text());
+  // The other daemon knows by then that the request is sound.
+  it.client_address = concat("127.0.0.2:", it.ports.client);
+  it.run_for(500ms);
+  auto again = it.post("/once/1", "c");
+  REQUIRE(again.ok());
+  CHECK(again->body == whole_text());
+}
+
+TEST_CASE("without the store a request that ended three targets is held back") {
+  auto& it = make_fixture();
+  for (auto n = 0; n < 4; ++n)
+    it.add_target(crashing());
+  it.start();
+  it.store.set_fault(store_fault::down);
+  for (auto n = 0; poison_runs(it) < ends_until_known; ++n)
+    (void)it.post("/again/poison", concat("p", n));
+  auto known = poison_runs(it);
+  for (auto n = 0; n < 30; ++n) {
+    (void)it.post("/again/poison", concat("q", n));
+    it.run_for(100ms);
+  }
+  CHECK(poison_runs(it) == known);
+}
