Close connections whose bytes never end

Heads and gathered bodies had limits. Without one were: the size, extension and trailers of chunks, which Beast keeps in its input buffer until they are whole; the event under way of a stream; and streams of comments or repeated events, each of which also counted as progress of a batch item, so that it never stalled. A daemon took such bytes as fast as they came until the deadline of the request, or for ever for an item: at 1 Gbit/s, 5 s are more than the memory of any VM.

The parsers' input is now bounded in http_link, http_server and fetch, the same cause at three places. A stream that brings 256 KB without a new event ends as one that broke off, and only a new event counts as an item's progress.

--- a/include/fulmarpitch/net/event-splitter.h
+++ b/include/fulmarpitch/net/event-splitter.h
@@ -22,21 +22,35 @@
   std::string raw;
 };
 
+/// A stream that brings more bytes without news is no stream of events; events
+/// of the engines have some hundred bytes.
+inline constexpr std::size_t max_bytes_without_news = std::size_t{256} * 1024;
+
 /// Bytes of a stream that do not make a whole event yet.
 class event_splitter {
  public:
   /// Adds bytes as they arrived.
-  void feed(std::string_view bytes) { rest_ += bytes; }
+  void feed(std::string_view bytes) {
+    rest_ += bytes;
+    without_news_ += bytes.size();
+  }
 
   /// Takes the next whole event.
   /// \return nothing while its end has not arrived.
   std::optional<stream_event> next();
 
+  /// Notes that an event brought something new.
+  void note_news() { without_news_ = 0; }
+
+  /// \return whether the stream brings bytes without news and should be closed.
+  bool is_endless() const { return without_news_ > max_bytes_without_news; }
+
   /// \return bytes of an event that broke off.
   std::string_view rest() const { return rest_; }
 
  private:
   std::string rest_;
+  std::size_t without_news_ = 0;
 };
 
 }  // namespace fulmar
--- a/include/fulmarpitch/net/http-link.h
+++ b/include/fulmarpitch/net/http-link.h
@@ -111,11 +111,17 @@
   void note_keep_alive(const answer_head& head);
 
   static constexpr std::size_t piece_bytes = std::size_t{8} * 1024;
+  /// An answer's head may be this long; targets send a dozen short headers.
+  static constexpr std::uint32_t max_head_bytes = 64 * 1024;
+  /// Bytes that the parser may hold back: a head, or the size, extension or
+  /// trailers of chunks, which it bounds by nothing else.
+  static constexpr std::size_t max_input_bytes =
+      std::size_t{2} * max_head_bytes;
 
   tcp::socket socket_;
   std::shared_ptr<link_table> table_;
   std::string address_;
-  boost::beast::flat_buffer input_;
+  boost::beast::flat_buffer input_{max_input_bytes};
   std::optional<parser> parser_;
   std::array<char, piece_bytes> piece_{};
   std::optional<instant> deadline_;
--- a/src/net/http-client.cc
+++ b/src/net/http-client.cc
@@ -23,6 +23,10 @@
 
 constexpr std::size_t read_bytes = 16'384;
 
+/// Bytes that the parser may hold back; it bounds the head, and neither the
+/// size nor the extension or trailers of chunks.
+constexpr std::size_t max_input_bytes = std::size_t{128} * 1024;
+
 http::request<http::string_body> to_beast(const http_call_options& options) {
   const auto& from = options.request;
   auto out = http::request<http::string_body>();
@@ -107,7 +111,7 @@
   asio::awaitable<void> read_answer() {
     auto ec = boost::system::error_code();
     auto token = asio::redirect_error(asio::use_awaitable, ec);
-    auto buf = beast::flat_buffer();
+    auto buf = beast::flat_buffer(max_input_bytes);
     auto parser = http::response_parser<http::buffer_body>();
     parser.body_limit(boost::none);
     stream_.expires_after(options_.idle_timeout);
--- a/src/net/http-link.cc
+++ b/src/net/http-link.cc
@@ -20,9 +20,6 @@
 
 namespace http = boost::beast::http;
 
-/// An answer's head may be this long; targets send a dozen short headers.
-constexpr std::uint32_t max_head_bytes = 64 * 1024;
-
 /// Unacknowledged bytes reset a connection after this: longer than any round
 /// trip between regions with a few retransmissions.
 constexpr unsigned user_timeout_ms = 2000;
--- a/src/net/http-server.cc
+++ b/src/net/http-server.cc
@@ -117,6 +117,7 @@
   asio::awaitable<void> run();
   asio::awaitable<bool> serve_one();
   asio::awaitable<void> send_all();
+  void bound_input();
   void enqueue(std::string bytes);
   void refuse(error_code code, std::string_view message);
   void watch_for_close();
@@ -280,6 +281,13 @@
   close();
 }
 
+void http_session::bound_input() {
+  // The parser holds back a head, or the size, extension or trailers of chunks,
+  // and bounds only the head. Bytes that arrived earlier stay.
+  auto limit = server_->options.max_header_bytes + piece_bytes;
+  buf_.max_size(std::max(limit, buf_.size() + piece_bytes));
+}
+
 asio::awaitable<bool> http_session::serve_one() {
   auto ec = boost::system::error_code();
   auto token = asio::redirect_error(asio::use_awaitable, ec);
@@ -290,6 +298,7 @@
     buf_.commit(n);
   }
   busy_ = true;
+  bound_input();
   auto head = head_parser();
   head.header_limit(server_->options.max_header_bytes);
   head.body_limit(boost::none);
--- a/src/serving/job-system.cc
+++ b/src/serving/job-system.cc
@@ -88,6 +88,7 @@
 
 task<attempt_end> read_events(front& in, item_attempt& it, http_link& link,
                               live_attempt& entry) {
+  const auto& to = entry.target;
   auto events = event_splitter();
   for (;;) {
     auto piece = co_await link.read_piece();
@@ -97,11 +98,19 @@
     entry.note_output();
     events.feed(*piece);
     while (auto event = events.next()) {
+      auto before = it.last_event;
+      if (!take_event(in, it, *event)) {
+        link.close();
+        co_return attempt_end::broken;
+      }
+      if (it.last_event == before) continue;
       entry.last_event = entry.heard;
-      if (take_event(in, it, *event)) continue;
-      link.close();
-      co_return attempt_end::broken;
+      events.note_news();
     }
+    if (!events.is_endless()) continue;
+    link.close();
+    doubt_target(in, to, target_fault::broke_off);
+    co_return attempt_end::broken;
   }
   auto whole = events.rest().empty() && it.last_event > 0;
   co_return whole ? attempt_end::complete : attempt_end::broken;
--- a/src/serving/online.cc
+++ b/src/serving/online.cc
@@ -140,15 +140,14 @@
   if (!in.crashes.records.empty()) note_answer(in, content_of(it));
 }
 
-/// Passes on whole events, so that a stream that breaks goes on behind the last
-/// one.
-void pass_events(online_request& it, event_splitter& events) {
+/// Takes the whole events that have arrived. Those of a stream that may be
+/// resumed are passed on here, so that it goes on behind the last whole one.
+void take_events(online_request& it, event_splitter& events) {
   while (auto event = events.next()) {
-    if (event->id) {
-      if (*event->id <= it.last_event) continue;
-      it.last_event = *event->id;
-    }
-    it.client->write(std::move(event->raw));
+    if (event->id && *event->id <= it.last_event) continue;
+    if (event->id) it.last_event = *event->id;
+    if (event->id || event->has_data) events.note_news();
+    if (it.path->resumable) it.client->write(std::move(event->raw));
   }
 }
 
@@ -174,14 +173,15 @@
     if (piece->empty()) break;
     entry.note_output();
     note_first_byte(in, it);
-    if (it.path->resumable) {
-      events.feed(*piece);
-      pass_events(it, events);
-    } else {
-      it.client->write(std::string(*piece));
-    }
+    events.feed(*piece);
+    if (!it.path->resumable) it.client->write(std::string(*piece));
+    take_events(it, events);
+    if (!events.is_endless()) continue;
+    link.close();
+    doubt_target(in, it.target, target_fault::broke_off);
+    co_return serve_end::broken;
   }
-  if (!events.rest().empty()) co_return serve_end::broken;
+  if (it.path->resumable && !events.rest().empty()) co_return serve_end::broken;
   note_answered(in, it);
   it.client->finish();
   co_return serve_end::answered;
--- a/support/scripted-target.h
+++ b/support/scripted-target.h
@@ -23,6 +23,8 @@
 struct scripted_answer {
   /// Written as it is.
   std::string bytes;
+  /// Written behind them again and again, until the other side closes.
+  std::string endless{};
   /// Closes the connection after the bytes.
   bool close = false;
   /// Neither answers nor closes.
@@ -56,6 +58,8 @@
   std::vector<std::string> bodies;
   /// Connections that are open.
   int open = 0;
+  /// Bytes that were sent without an end.
+  std::size_t endless_bytes = 0;
 
  private:
   task<void> accept() {
@@ -111,10 +115,20 @@
       }
       if (it.delay.count() > 0) co_await pause_for(it.delay);
       co_await asio::async_write(socket, asio::buffer(it.bytes), as_result);
+      if (!it.endless.empty()) co_await send_without_end(socket, it.endless);
       if (it.close) co_return;
     }
   }
 
+  task<void> send_without_end(tcp::socket& socket, const std::string& again) {
+    for (;;) {
+      auto [ec, n] =
+          co_await asio::async_write(socket, asio::buffer(again), as_result);
+      endless_bytes += n;
+      if (ec) co_return;
+    }
+  }
+
   tcp::acceptor acceptor_;
   script answer_;
   answer_time when_;
--- /dev/null
+++ b/test/endless-target-test.cc
@@ -0,0 +1,138 @@
+// Daemons before a target whose answers never end, over loopback.
+
+#include <absl/strings/escaping.h>
+
+#include <boost/json.hpp>
+#include <catch2/catch.hpp>
+
+#include "serving-fixture.h"
+
+using namespace fulmar;
+using namespace fulmar::serving_test;
+
+namespace {
+
+/// What a daemon may take of one answer, with the sockets' buffers.
+constexpr auto most_taken = std::size_t{16} * 1024 * 1024;
+
+const auto filler = std::string(4096, 'x');
+
+struct endless_body {
+  const char* name;
+  std::string bytes;
+};
+
+std::vector<endless_body> endless_streams() {
+  return std::vector<endless_body>({{"an event", filler},
+                                    {"comments", ": wait\n\n"},
+                                    {"the first event", "id: 1\ndata: d1\n\n"},
+                                    {"chunk extensions", ""}});
+}
+
+/// Sends a stream without an end at first, whole ones afterwards.
+scripted_target::script endless_once(const endless_body& it, bool* is_first) {
+  return [it, is_first](const std::string& head) {
+    if (!std::exchange(*is_first, false)) return whole(head);
+    auto out = scripted_answer{
+        .bytes = stream_head(id_of(head)) + chunk(event(1)), .close = true};
+    if (it.bytes.empty()) {
+      out.bytes += "5;x=";
+      out.endless = filler;
+    } else {
+      out.endless = chunk(it.bytes);
+    }
+    return out;
+  };
+}
+
+/// Answers with a head and a body without an end at first.
+scripted_target::script endless_after(std::string head_text, bool* is_first) {
+  return [head_text, is_first](const std::string& head) {
+    if (!std::exchange(*is_first, false)) return whole(head);
+    return scripted_answer{
+        .bytes = concat(head_text, "\r\nFulmarpitch-Attempt-Id: ", id_of(head),
+                        "\r\n\r\n"),
+        .endless = filler,
+        .close = true};
+  };
+}
+
+/// Comments are passed on and belong to no event.
+std::string without_comments(std::string text) {
+  constexpr auto comment = std::string_view(": wait\n\n");
+  for (auto at = text.find(comment); at != std::string::npos;
+       at = text.find(comment, at))
+    text.erase(at, comment.size());
+  return text;
+}
+
+std::size_t endless_bytes(const fixture& it) {
+  auto out = std::size_t{0};
+  for (const auto& target : it.targets)
+    out += target.endless_bytes;
+  return out;
+}
+
+}  // namespace
+
+TEST_CASE("a stream without an end that may be resumed goes on elsewhere") {
+  auto body = GENERATE(from_range(endless_streams()));
+  CAPTURE(body.name);
+  auto is_first = true;
+  auto& it = make_fixture();
+  it.add_target(endless_once(body, &is_first));
+  it.add_target(endless_once(body, &is_first));
+  it.start();
+  auto answer = it.post("/again/1", "a1");
+  REQUIRE(answer.ok());
+  CHECK(without_comments(answer->body) == whole_text());
+  CHECK(endless_bytes(it) < most_taken);
+}
+
+TEST_CASE("a stream without an end that may run once does not look complete") {
+  auto body = GENERATE(from_range(endless_streams()));
+  CAPTURE(body.name);
+  auto is_first = true;
+  auto& it = make_fixture();
+  it.add_target(endless_once(body, &is_first));
+  it.start();
+  CHECK_FALSE(it.post("/once/1", "a1").ok());
+  CHECK(endless_bytes(it) < most_taken);
+}
+
+TEST_CASE("an item's stream without an end goes on elsewhere") {
+  auto body = GENERATE(from_range(endless_streams()));
+  CAPTURE(body.name);
+  auto is_first = true;
+  auto& it = make_fixture();
+  it.add_target(endless_once(body, &is_first));
+  it.start();
+  auto job = concat(
+      R"({"requests":[{"id":"i1","path":"/jobs/1/i1","headers":{},"body":")",
+      absl::Base64Escape("p"), R"(","tokens":10}]})");
+  REQUIRE(it.post("/jobs/1", "j1", job)->status == 202);
+  auto results = std::string();
+  it.until([&] {
+    auto answer = it.get("/v1/lots/j1?after=0");
+    if (answer.ok()) results = answer->body;
+    return results.find("done") != std::string::npos;
+  });
+  CHECK(results.find(R"("output":"d1\nd2\nd3\nd4")") != std::string::npos);
+  CHECK(endless_bytes(it) < most_taken);
+}
+
+TEST_CASE("an answer without an end leads to the next target") {
+  const auto* head = GENERATE("HTTP/1.1 503 Busy\r\nFulmarpitch-Not-Run: 1",
+                              "HTTP/1.1 500 Broken",
+                              "HTTP/1.1 200 OK\r\nFulmarpitch-Server-Stamp: s");
+  CAPTURE(head);
+  auto is_first = true;
+  auto& it = make_fixture();
+  it.add_target(endless_after(head, &is_first));
+  it.add_target(endless_after(head, &is_first));
+  it.start();
+  auto answer = it.post("/slow/1", "a1");
+  REQUIRE(answer.ok());
+  CHECK(answer->body == whole_text());
+  CHECK(endless_bytes(it) < most_taken);
+}
