Bound what is kept of contents that proved sound

A content that a target answered runs freely, so that its ends need not be remembered: a popular one could gather them without end. The number of a trial is asserted where it is granted.

--- a/include/fulmarpitch/serving/crash-book.h
+++ b/include/fulmarpitch/serving/crash-book.h
@@ -112,8 +112,8 @@
 /// Tells whether a content may run now.
 run_permit judge(const crash_book& book, std::uint64_t content, instant now);
 
-/// Tells whether a target's answer to a content is news.
-bool is_in_doubt(const crash_book& book, std::uint64_t content);
+/// Tells whether a target answered a content: it ends no targets.
+bool is_sound(const crash_book& book, std::uint64_t content);
 
 /// Forgets what has lapsed.
 /// \return the keys of the rows of what was forgotten.
--- a/src/serving/crash-book.cc
+++ b/src/serving/crash-book.cc
@@ -119,9 +119,9 @@
   return {.what = run_permit::kind::trial, .trial = it.trials};
 }
 
-bool is_in_doubt(const crash_book& book, std::uint64_t content) {
+bool is_sound(const crash_book& book, std::uint64_t content) {
   auto it = book.records.find(content);
-  return it != book.records.end() && !it->second.sound;
+  return it != book.records.end() && it->second.sound;
 }
 
 std::vector<std::string> forget_lapsed(crash_book& book, instant now) {
--- a/src/serving/crash-system.cc
+++ b/src/serving/crash-system.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "fulmarpitch/core/invariant.h"
 #include "fulmarpitch/core/rendezvous.h"
 #include "fulmarpitch/core/text.h"
 
@@ -116,17 +117,20 @@
   auto now = event_loop::steady();
   // A resumed request ends several targets under one id.
   auto number = mix_hash(stable_hash(request), stable_hash(target));
-  note_and_write(in, {.content = content, .number = number, .at = now});
+  auto sound = is_sound(in.crashes, content);
+  if (!sound)
+    note_and_write(in, {.content = content, .number = number, .at = now});
   const auto& it = in.crashes.records.at(content);
   in.log.add("target_ended", {{"request_id", request},
                               {"content", hex(content)},
                               {"target", target},
                               {"ends", std::uint64_t{it.ends.size()}},
-                              {"sound", it.sound}});
+                              {"sound", sound}});
 }
 
 void note_answer(front& in, std::uint64_t content) {
-  if (!is_in_doubt(in.crashes, content)) return;
+  if (!in.crashes.records.contains(content) || is_sound(in.crashes, content))
+    return;
   note_and_write(in, {.content = content,
                       .kind = crash_event_kind::sound,
                       .at = event_loop::steady()});
@@ -138,6 +142,8 @@
   auto now = event_loop::steady();
   auto permit = judge(in.crashes, content, now);
   if (permit.what == run_permit::kind::trial) {
+    ensure(permit.trial < in.crashes.options.trial_pauses.size(),
+           invariant::limit_holds, "a content has more trials than allowed");
     auto trial = crash_event{.content = content,
                              .kind = crash_event_kind::trial,
                              .number = permit.trial,
--- a/test/crash-book-test.cc
+++ b/test/crash-book-test.cc
@@ -77,10 +77,10 @@
 TEST_CASE("an answer clears a content for good") {
   auto book = crash_book();
   end_three_targets(book, 10s);
-  CHECK(is_in_doubt(book, content));
+  CHECK_FALSE(is_sound(book, content));
   note_event(book,
              {.content = content, .kind = crash_event_kind::sound, .at = 12s});
-  CHECK_FALSE(is_in_doubt(book, content));
+  CHECK(is_sound(book, content));
   for (auto n = std::uint64_t{10}; n < 20; ++n)
     end_target(book, n, 13s);
   CHECK(verdict(book, 13s) == run_permit::kind::free);
--- a/test/endless-bytes-test.cc
+++ b/test/endless-bytes-test.cc
@@ -1,12 +1,10 @@
 // Peers whose bytes never end, in a head or a body.
 
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <string>
 
+#include "endless-peer.h"
 #include "fulmarpitch/core/text.h"
-#include "fulmarpitch/net/coroutine.h"
 #include "fulmarpitch/net/event-splitter.h"
 #include "fulmarpitch/net/http-link.h"
 #include "fulmarpitch/net/http.h"
@@ -17,60 +15,9 @@
 
 constexpr auto megabyte = std::size_t{1024} * 1024;
 
-/// The sender stops by itself after this, so that the test ends.
-constexpr auto most_sent = 64 * megabyte;
-
 /// What a reader may take before it closes, with the sockets' buffers.
 constexpr auto most_taken = 16 * megabyte;
 
-/// Sends a beginning and then the same bytes until the other side closes.
-task<std::size_t> send_without_end(tcp::socket& socket, std::string first,
-                                   std::string again) {
-  auto sent = std::size_t{0};
-  co_await asio::async_write(socket, asio::buffer(first), as_result);
-  while (sent < most_sent) {
-    auto [ec2, n] =
-        co_await asio::async_write(socket, asio::buffer(again), as_result);
-    sent += n;
-    if (ec2) break;
-  }
-  co_return sent;
-}
-
-/// Answers one request without an end.
-task<std::size_t> answer_without_end(tcp::acceptor& acceptor, std::string first,
-                                     std::string again) {
-  auto [ec, socket] = co_await acceptor.async_accept(as_result);
-  auto input = std::string();
-  co_await asio::async_read_until(socket, asio::dynamic_buffer(input),
-                                  "\r\n\r\n", as_result);
-  auto sent = co_await send_without_end(socket, first, again);
-  co_return sent;
-}
-
-/// Sends a request without an end.
-task<std::size_t> send_to(asio::io_context& io, std::uint16_t port,
-                          std::string first, std::string again) {
-  auto socket = tcp::socket(io);
-  auto to = tcp::endpoint(asio::ip::make_address("127.0.0.1"), port);
-  co_await socket.async_connect(to, as_result);
-  auto sent = co_await send_without_end(socket, first, again);
-  co_return sent;
-}
-
-/// Asks for an answer and reads all of it.
-task<absl::Status> read_all(http_link& link) {
-  constexpr auto limit = std::size_t{1} * megabyte;
-  auto connected = co_await link.connect();
-  if (!connected.ok()) co_return connected;
-  auto sent = co_await link.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n", "");
-  if (!sent.ok()) co_return sent;
-  auto head = co_await link.read_head();
-  if (!head.ok()) co_return head.status();
-  auto body = co_await link.read_rest(limit);
-  co_return body.status();
-}
-
 struct endless_answer {
   const char* name;
   std::string first;
