--- a/test/fault-proxy-test.cc
+++ b/test/fault-proxy-test.cc
@@ -16,7 +16,7 @@
       : events(event_count),
         target(loop,
                {.id = "t", .events = event_count, .event_time = event_time},
-               [this](const auto&) { ++runs; }) {}
+               [this](const auto&, const auto&) { ++runs; }) {}
 
   event_loop loop;
   int runs = 0;
