Count ends of targets, not requests that broke off there

Eight requests of one popular content on one target that crashes were eight ends, so that one crash held back the content for all callers until the next answer. An end is now named by the target's start (id and time of start). A target that does not tell its start counts as before. The new test: three requests broke off at one start of a target, the fourth is served. Soak targets tell their starts, and start again under their ids after a crash.

--- a/src/serving/crash-system.cc
+++ b/src/serving/crash-system.cc
@@ -80,6 +80,13 @@
              {{"rows", std::uint64_t{rows.waiting.size()}}, {"why", why}});
 }
 
+/// Names one end of a target. Several requests of one content may run there,
+/// and one start of it ends once.
+std::uint64_t end_number(std::string_view request, const target& to) {
+  auto start = to.started_ms > 0 ? to.started_ms : stable_hash(request);
+  return mix_hash(stable_hash(to.id), start);
+}
+
 void log_held(front& in, std::uint64_t content, std::string_view request,
               const run_permit& permit) {
   const auto& it = in.crashes.records.at(content);
@@ -113,17 +120,17 @@
 }  // namespace
 
 void note_target_end(front& in, std::uint64_t content, std::string_view request,
-                     std::string_view target) {
-  auto now = event_loop::steady();
-  // A resumed request ends several targets under one id.
-  auto number = mix_hash(stable_hash(request), stable_hash(target));
+                     const target& to) {
   auto sound = is_sound(in.crashes, content);
-  if (!sound)
-    note_and_write(in, {.content = content, .number = number, .at = now});
+  if (!sound) {
+    note_and_write(in, {.content = content,
+                        .number = end_number(request, to),
+                        .at = event_loop::steady()});
+  }
   const auto& it = in.crashes.records.at(content);
   in.log.add("target_ended", {{"request_id", request},
                               {"content", hex(content)},
-                              {"target", target},
+                              {"target", to.id},
                               {"ends", std::uint64_t{it.ends.size()}},
                               {"sound", sound}});
 }
--- a/src/serving/crash-system.h
+++ b/src/serving/crash-system.h
@@ -18,9 +18,9 @@
 /// Notes that a target ended, or may have ended, while it ran a request.
 /// \param content what the request asks.
 /// \param request its id.
-/// \param target where it ran.
+/// \param to where it ran.
 void note_target_end(front& in, std::uint64_t content, std::string_view request,
-                     std::string_view target);
+                     const target& to);
 
 /// Notes that a target answered a request.
 void note_answer(front& in, std::uint64_t content);
--- a/src/serving/online.cc
+++ b/src/serving/online.cc
@@ -73,7 +73,8 @@
   double home_slots = 0;
   /// Age of the oldest report that counted.
   instant load_age{};
-  std::string target;
+  /// The target of the last attempt.
+  target to;
 };
 
 std::uint64_t content_of(online_request& it) {
@@ -164,9 +165,9 @@
     if (!piece.ok()) {
       auto late = code_of(piece.status()) == error_code::deadline_exceeded;
       if (!entry.stopped && !late)
-        doubt_target(in, it.target, target_fault::broke_off);
+        doubt_target(in, it.to.id, target_fault::broke_off);
       if (is_target_lost(entry, piece.status()))
-        note_target_end(in, content_of(it), it.id, it.target);
+        note_target_end(in, content_of(it), it.id, it.to);
       // Bytes of an event that broke off must not join those of the next run.
       co_return serve_end::broken;
     }
@@ -178,7 +179,7 @@
     take_events(it, events);
     if (!events.is_endless()) continue;
     link.close();
-    doubt_target(in, it.target, target_fault::broke_off);
+    doubt_target(in, it.to.id, target_fault::broke_off);
     co_return serve_end::broken;
   }
   if (it.path->resumable && !events.rest().empty()) co_return serve_end::broken;
@@ -194,7 +195,7 @@
   auto success = head.status < first_redirect;
   if (success && signature.empty()) {
     link.close();
-    doubt_target(in, it.target, target_fault::broke_off);
+    doubt_target(in, it.to.id, target_fault::broke_off);
     co_return serve_end::broken;
   }
   if (success && it.path->kind == route_kind::stream)
@@ -202,7 +203,7 @@
   auto body = co_await link.read_rest(max_answer_bytes);
   if (!body.ok()) {
     if (is_target_lost(entry, body.status()))
-      note_target_end(in, content_of(it), it.id, it.target);
+      note_target_end(in, content_of(it), it.id, it.to);
     co_return serve_end::broken;
   }
   note_answered(in, it);
@@ -210,7 +211,7 @@
                it.runs < it.path->attempts;
   if (again || it.head_sent) co_return serve_end::broken;
   if (head.status >= first_server_error)
-    doubt_target(in, it.target, target_fault::failed);
+    doubt_target(in, it.to.id, target_fault::failed);
   note_first_byte(in, it);
   it.head_sent = true;
   it.client->respond({.status = head.status,
@@ -254,8 +255,7 @@
     it.attempt = nullptr;
     log_attempt(in, outgoing, to, attempt);
     if (attempt.outcome == attempt_outcome::broken) note_run(it);
-    if (attempt.target_lost)
-      note_target_end(in, content_of(it), it.id, it.target);
+    if (attempt.target_lost) note_target_end(in, content_of(it), it.id, it.to);
     co_return attempt.outcome == attempt_outcome::broken ? serve_end::broken
                                                          : serve_end::not_run;
   }
@@ -293,7 +293,7 @@
       {{"request_id", it.id},
        {"route", it.path->name},
        {"end", end},
-       {"target", it.target},
+       {"target", it.to.id},
        {"placed", name_in(placement_reason_names, it.placed.reason)},
        {"online_there", std::uint64_t{it.load_seen.online}},
        {"batch_there", std::uint64_t{it.load_seen.batch}},
@@ -339,7 +339,7 @@
       give_up(it, now);
       co_return "refused";
     }
-    auto to = row->listed;
+    it.to = row->listed;
     if (!in.crashes.records.empty() && !it.holds_trial) {
       auto permit = co_await ask_to_run(in, content_of(it), it.id);
       if (permit.what == run_permit::kind::held) {
@@ -350,9 +350,8 @@
       it.holds_trial = permit.what == run_permit::kind::trial;
       if (it.client_gone) co_return "client_gone";
     }
-    it.target = id;
     it.tried.insert(id);
-    auto end = co_await serve_at(in, it, std::move(to));
+    auto end = co_await serve_at(in, it, it.to);
     if (it.client_gone) co_return "client_gone";
     if (end == serve_end::answered) co_return "answered";
     in.figures.add(counter::retries, 1, in.figures.of(it.path->name, ""));
--- a/src/soak/soak-run.cc
+++ b/src/soak/soak-run.cc
@@ -78,6 +78,8 @@
   std::unique_ptr<soak_target> server;
   std::unique_ptr<fault_proxy> proxy;
   std::string data_centre;
+  /// Tells its starts apart, as a time of day would.
+  std::uint64_t started_ms = 1;
   /// When it said that it leaves; zero while it stays.
   instant leaving{};
 };
@@ -146,6 +148,7 @@
           {"addr", target.proxy->address()},
           {"zone", target.data_centre},
           {"slots", 4},
+          {"born", target.started_ms},
           {"state", target.leaving.count() > 0 ? "draining" : "ready"}}));
 }
 
@@ -160,6 +163,8 @@
   row.proxy->set(link_fault::reset);
   co_await pause_for(it.draw_time(shortest_crash_ms, longest_crash_ms));
   row.proxy->set(link_fault::none);
+  ++row.started_ms;
+  put_target(it, row);
 }
 
 bool is_crashing(const std::string& path) {
--- a/support/serving-fixture.h
+++ b/support/serving-fixture.h
@@ -139,12 +139,20 @@
   scripted_target& add_target(scripted_target::script answer,
                               answer_time when = answer_time::after_body) {
     auto& it = targets.emplace_back(loop, std::move(answer), when);
-    store.put("servers", concat("t", targets.size()),
-              concat(R"({"service":"s","zone":"dc","slots":8,"state":"ready",)",
-                     R"("addr":")", it.address(), R"("})"));
+    list_target(targets.size(), 0);
     return it;
   }
 
+  /// Lists a target as one that started at a time; 0 leaves the time out.
+  void list_target(std::size_t number, std::uint64_t started_ms) {
+    const auto& it = targets[number - 1];
+    auto started =
+        started_ms > 0 ? concat(R"("born":)", started_ms, ",") : std::string();
+    store.put("servers", concat("t", number),
+              concat(R"({"service":"s","zone":"dc","slots":8,"state":"ready",)",
+                     started, R"("addr":")", it.address(), R"("})"));
+  }
+
   std::unique_ptr<serving::serving_daemon> start_daemon(
       const std::string& name, const std::string& ip,
       const std::string& store_address) {
--- a/test/crashing-request-test.cc
+++ b/test/crashing-request-test.cc
@@ -129,3 +129,16 @@
   }
   CHECK(poison_runs(it) == known);
 }
+
+TEST_CASE("requests that broke off at one start of a target are one end") {
+  static auto ends_left = 3;
+  auto& it = make_fixture();
+  it.add_target(unlucky(&ends_left));
+  it.list_target(1, 5);
+  it.start();
+  for (auto n = 0; ends_left > 0; ++n)
+    (void)it.post("/once/1", concat("a", n));
+  auto answer = it.post("/once/1", "b");
+  REQUIRE(answer.ok());
+  CHECK(answer->body == whole_text());
+}
