--- a/src/serving/crash-book.cc
+++ b/src/serving/crash-book.cc
@@ -34,6 +34,12 @@
   book.records.erase(oldest);
 }
 
+/// Rows of the store may name any number.
+void note_trial(crash_record& record, std::uint64_t number, std::size_t most) {
+  auto count = std::min<std::uint64_t>(number, most - 1) + 1;
+  record.trials = std::max(record.trials, static_cast<std::uint32_t>(count));
+}
+
 /// Names all that was noted of a content.
 std::vector<std::string> keys_of(std::uint64_t content,
                                  const crash_record& it) {
@@ -94,8 +100,7 @@
       record.ends.insert(it.number);
       break;
     case crash_event_kind::trial:
-      record.trials =
-          std::max(record.trials, static_cast<std::uint32_t>(it.number) + 1);
+      note_trial(record, it.number, book.options.trial_pauses.size());
       break;
     case crash_event_kind::sound:
       record.sound = true;
--- a/src/serving/crash-system.cc
+++ b/src/serving/crash-system.cc
@@ -89,7 +89,9 @@
 
 void log_held(front& in, std::uint64_t content, std::string_view request,
               const run_permit& permit) {
-  const auto& it = in.crashes.records.at(content);
+  // The content may have been forgotten while the store was asked.
+  auto found = in.crashes.records.find(content);
+  auto it = found == in.crashes.records.end() ? crash_record() : found->second;
   in.log.add("request_held",
              {{"request_id", request},
               {"content", hex(content)},
--- a/src/serving/slots.cc
+++ b/src/serving/slots.cc
@@ -97,8 +97,8 @@
   }
   for (auto& it : in.attempts) {
     auto last = heard.find(it.target);
-    if (last == heard.end() || now - last->second < it.patience) continue;
-    it.fell_silent = true;
+    it.fell_silent = last != heard.end() && now - last->second >= it.patience;
+    if (!it.fell_silent) continue;
     if (auto* row = find_target(in.targets, it.target);
         row != nullptr && trust_at(row->seen.doubt, now) != trust::none) {
       doubt_target(in, it.target, target_fault::silent);
--- a/test/crash-book-test.cc
+++ b/test/crash-book-test.cc
@@ -1,6 +1,7 @@
 #include "fulmarpitch/serving/crash-book.h"
 
 #include <catch2/catch.hpp>
+#include <limits>
 
 using namespace fulmar;
 using namespace fulmar::serving;
@@ -128,3 +129,12 @@
   CAPTURE(key);
   CHECK_FALSE(parse_crash_key(key));
 }
+
+TEST_CASE("a trial of any number leaves few rows to remove") {
+  auto book = crash_book();
+  note_event(book, {.content = content,
+                    .kind = crash_event_kind::trial,
+                    .number = std::numeric_limits<std::uint64_t>::max(),
+                    .at = 1s});
+  CHECK(forget_lapsed(book, 1s + book.options.memory + 1s).size() == 2);
+}
