Hold late requests while new ones can still be in time

Cause: after an outage the clients that got no answer come back within a second and fill the engines' queues, which admit in order of arrival.

A request whose client has waited longer than the goal allows is held at the daemon, by deadline, and starts on slots that new requests are not about to need. How long a client has waited is told by its time left against that of first attempts, as observed, as a route's timeout may change. It is held only while its client waits and has time for a queue afterwards. Batch does not start before held requests.

The placement test of a route without a timeout is replaced: age no longer depends on the timeout, and the new section bounds it as closely.

--- a/include/fulmarpitch/serving/placement.h
+++ b/include/fulmarpitch/serving/placement.h
@@ -49,9 +49,10 @@
   doubtful_only,
   no_target,
   would_be_late,
+  held_back,
 };
 
-inline constexpr std::array<named<placement_reason>, 8> placement_reason_names{
+inline constexpr std::array<named<placement_reason>, 9> placement_reason_names{
     {{placement_reason::free_slot, "free_slot"},
      {placement_reason::batch_gives_way, "batch_gives_way"},
      {placement_reason::lent_slot, "lent_slot"},
@@ -59,7 +60,8 @@
      {placement_reason::on_trial, "on_trial"},
      {placement_reason::doubtful_only, "doubtful_only"},
      {placement_reason::no_target, "no_target"},
-     {placement_reason::would_be_late, "would_be_late"}}};
+     {placement_reason::would_be_late, "would_be_late"},
+     {placement_reason::held_back, "held_back"}}};
 
 /// Parameters of a placement.
 struct placement_options {
@@ -71,22 +73,28 @@
   /// while the local queue is short: reports of its load are half a second
   /// old, so that several daemons would take the last slot at once.
   std::uint32_t slots_per_reserved_remote = 4;
+  /// One in this many slots of a target is not used by late requests, so that
+  /// new ones find a free slot.
+  std::uint32_t slots_per_reserved_late = 8;
 };
 
-/// Time limits of a caller.
+/// Times of a request that is to be placed.
 struct caller_time {
   /// Latency goal for the first output.
   instant goal{};
-  /// Timeout of the route; zero for none.
-  instant timeout{};
+  /// How long the caller had waited before it sent this attempt.
+  instant waited{};
+  /// Time since this attempt arrived.
+  instant held{};
   /// Time left until the caller's deadline.
   instant left{};
+  /// How long the caller waits for the first output of an attempt.
+  instant max_silence{};
 };
 
-/// Derives placement options from the caller's time limits. A request with less
-/// time left than its route allows is a retry after a refusal and may not be
-/// retried again: it may queue for longer, where a first attempt is refused
-/// with a time to retry.
+/// Derives placement options from the caller's time limits. A request whose
+/// caller has waited before is a retry and may not be retried again: it may
+/// queue for longer, where a first attempt is refused with a time to retry.
 /// \param slot_time mean time that an online request holds a slot.
 placement_options placement_of(const caller_time& time, instant slot_time);
 
@@ -98,6 +106,12 @@
   instant wait{};
 };
 
+/// Places an online request that gives way to new ones: on a slot that is free
+/// or held by a batch item, beyond a reserve for new requests.
+/// \return no target and `held_back` if there is none.
+placement place_late(std::span<const candidate> among,
+                     const placement_options& options);
+
 /// Places an online request. Among local targets with slots to spare, those
 /// with an idle open connection are preferred: many daemons share the targets,
 /// and each new connection costs time at the target and for the request.
--- a/include/fulmarpitch/serving/routes.h
+++ b/include/fulmarpitch/serving/routes.h
@@ -49,6 +49,8 @@
   instant timeout{};
   /// Latency goal for the response, or for a stream's first event.
   instant goal{};
+  /// Streams: clients abandon one that sends nothing for this long.
+  instant max_silence{};
   /// Maximum number of targets that one request is tried on.
   std::uint32_t attempts = 1;
   /// Lower values are served first.
--- a/src/serving/front.h
+++ b/src/serving/front.h
@@ -23,6 +23,7 @@
 #include "fulmarpitch/serving/event-log.h"
 #include "fulmarpitch/serving/feed.h"
 #include "fulmarpitch/serving/job-run.h"
+#include "fulmarpitch/serving/late-queue.h"
 #include "fulmarpitch/serving/load-board.h"
 #include "fulmarpitch/serving/placement.h"
 #include "fulmarpitch/serving/quota.h"
@@ -144,6 +145,12 @@
   instant slot_time;
   /// Expected retries of clients that were refused.
   return_book returns;
+  /// Late requests that are held for a free slot.
+  late_queue late_requests;
+  /// Recent arrivals of requests that are in time.
+  arrival_window arrivals;
+  /// Time limits of new requests, by route.
+  absl::flat_hash_map<std::string, observed_time_limit> time_limits;
 
   /// Requests during which targets crashed.
   crash_registry crashes;
--- a/src/serving/job-system.cc
+++ b/src/serving/job-system.cc
@@ -381,7 +381,8 @@
   adopt_jobs(in, now);
   start_listings(in, now);
   start_saves(in, now);
-  if (!in.leaving) start_items(in, now);
+  // Late requests are online requests: batch does not start before them.
+  if (!in.leaving && in.late_requests.waiting.empty()) start_items(in, now);
 }
 
 }  // namespace fulmar::serving
--- /dev/null
+++ b/src/serving/late-queue.cc
@@ -0,0 +1,100 @@
+#include "fulmarpitch/serving/late-queue.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace fulmar::serving {
+namespace {
+
+constexpr auto observation_period = std::chrono::seconds(10);
+constexpr auto time_limit_step = instant(std::chrono::milliseconds(20));
+/// At least one in this many requests is a first attempt, also after an outage.
+constexpr std::uint32_t requests_per_first_attempt = 10;
+
+/// Period over which arrivals are counted: peaks begin and end within it.
+constexpr auto rate_period = std::chrono::milliseconds(500);
+/// Shortest period that gives a rate, after a start.
+constexpr auto min_rate_period = std::chrono::milliseconds(100);
+
+/// Prompt processing, the first step and the network round trip.
+constexpr auto min_first_output = std::chrono::milliseconds(60);
+
+}  // namespace
+
+void note_time_limit(observed_time_limit& limit, instant left, instant now) {
+  if (now - limit.began >= observation_period) {
+    auto is_next = now - limit.began < 2 * observation_period;
+    limit = {.before = is_next ? std::move(limit.recent)
+                               : observed_time_limit::histogram(),
+             .began = now};
+  }
+  ++limit.recent[left - left % time_limit_step];
+}
+
+instant time_limit(const observed_time_limit& limit) {
+  auto counts = limit.before;
+  for (const auto& [left, n] : limit.recent)
+    counts[left] += n;
+  auto all = std::uint32_t{0};
+  for (const auto& [left, n] : counts)
+    all += n;
+  auto as_long = std::uint32_t{0};
+  for (auto it = counts.rbegin(); it != counts.rend(); ++it) {
+    as_long += it->second;
+    if (as_long * requests_per_first_attempt >= all) return it->first;
+  }
+  return {};
+}
+
+bool gives_way(const caller_time& time, instant slot_time,
+               const late_options& options) {
+  auto late = time.goal.count() > 0 &&
+              time.waited + time.held + min_first_output > time.goal;
+  return late && time.held + options.min_left < time.max_silence &&
+         time.left > slot_time + options.min_left;
+}
+
+void note_arrival(arrival_window& window, instant now) {
+  if (window.began.count() == 0) window.began = now;
+  window.arrivals.push_back(now);
+  while (now - window.arrivals.front() > rate_period)
+    window.arrivals.pop_front();
+}
+
+double arrival_rate(const arrival_window& window, instant now) {
+  auto recent =
+      std::count_if(window.arrivals.begin(), window.arrivals.end(),
+                    [&](instant at) { return now - at <= rate_period; });
+  auto period =
+      std::clamp<instant>(now - window.began, min_rate_period, rate_period);
+  return static_cast<double>(recent) /
+         std::chrono::duration<double>(period).count();
+}
+
+std::uint32_t max_late_running(double slots, double rate, instant slot_time) {
+  auto needed = rate * std::chrono::duration<double>(slot_time).count();
+  return static_cast<std::uint32_t>(std::max(slots - needed, 1.0));
+}
+
+late_queue_entry::late_queue_entry(late_queue& queue, instant deadline)
+    : queue_(queue), key_(deadline, ++queue.last_number) {
+  queue_.waiting.insert(key_);
+}
+
+late_queue_entry::~late_queue_entry() {
+  queue_.waiting.erase(key_);
+  if (running_) --queue_.running;
+}
+
+void late_queue_entry::start() {
+  if (running_) return;
+  queue_.waiting.erase(key_);
+  ++queue_.running;
+  running_ = true;
+}
+
+bool late_queue_entry::is_first() const {
+  return *queue_.waiting.begin() == key_;
+}
+
+}  // namespace fulmar::serving
--- a/src/serving/online.cc
+++ b/src/serving/online.cc
@@ -25,6 +25,9 @@
 /// one.
 constexpr auto max_request_time = std::chrono::seconds(60);
 
+/// Interval at which a held request looks for a free slot.
+constexpr auto late_poll_interval = std::chrono::milliseconds(10);
+
 /// Targets tried for one request before the client gets a refusal.
 constexpr std::size_t max_refusals = 4;
 
@@ -54,6 +57,10 @@
   std::optional<std::uint64_t> content;
   instant arrived{};
   instant deadline{};
+  /// How long the client had waited before it sent this attempt.
+  instant waited{};
+  /// How long it was held here as it gave way to new requests.
+  instant held{};
   std::optional<instant> first_byte;
   /// Targets that the request may have run on.
   std::uint32_t runs = 0;
@@ -89,21 +96,81 @@
 /// How an attempt to serve a request at one target ended.
 enum class serve_outcome { answered, not_run, broken };
 
-instant deadline_of(const online_request& it) {
-  auto out = it.arrived + max_request_time;
-  if (it.matched_route->timeout.count() > 0)
-    out = std::min(out, it.arrived + it.matched_route->timeout);
+/// \return the longest time that a route allows a request.
+instant max_time_of(const route& it) {
+  return it.timeout.count() > 0
+             ? std::min<instant>(it.timeout, max_request_time)
+             : max_request_time;
+}
+
+/// \return how long the client says it will wait; empty if it does not say.
+std::optional<instant> client_time_left(const online_request& it) {
   auto text =
       find_header(it.client->request().headers, platform::header::time_left);
   auto left_ms = std::int64_t{0};
-  if (absl::SimpleAtoi(std::string(text), &left_ms) && left_ms > 0)
-    out = std::min(out, it.arrived + std::chrono::milliseconds(left_ms));
-  return out;
+  if (!absl::SimpleAtoi(std::string(text), &left_ms) || left_ms <= 0)
+    return std::nullopt;
+  return std::chrono::milliseconds(left_ms);
+}
+
+/// Sets the deadline of a request and how long its client has waited before.
+void set_times(front& in, online_request& it) {
+  it.arrived = event_loop::steady();
+  it.deadline = it.arrived + max_time_of(*it.matched_route);
+  auto left = client_time_left(it);
+  if (!left) return;
+  it.deadline = std::min(it.deadline, it.arrived + *left);
+  auto& limit = in.time_limits[it.matched_route->name];
+  note_time_limit(limit, *left, it.arrived);
+  it.waited = std::max(time_limit(limit) - *left, instant{});
+}
+
+/// \return how long the client waits for the first output.
+instant max_silence_of(const online_request& it) {
+  const auto& route = *it.matched_route;
+  if (route.kind != route_kind::stream) return it.deadline - it.arrived;
+  return std::min(route.max_silence, it.deadline - it.arrived);
+}
+
+caller_time time_of(const online_request& it) {
+  auto now = event_loop::steady();
+  return {.goal = it.matched_route->goal,
+          .waited = it.waited,
+          .held = now - it.arrived,
+          .left = it.deadline - now,
+          .max_silence = max_silence_of(it)};
+}
+
+/// \return whether the request is late and gives way to new ones.
+bool is_late(const front& in, const online_request& it) {
+  return it.runs == 0 && gives_way(time_of(it), in.slot_time);
+}
+
+/// \return the number of daemons in this data centre, including this one; they
+///     share its targets.
+std::size_t count_local_daemons(const front& in) {
+  return 1 +
+         live_members(in.board, in.settings.data_centre, event_loop::steady())
+             .size();
+}
+
+/// \return this daemon's share of the slots that the last placement found in
+///     this data centre.
+double share_of_slots(const front& in, const online_request& it) {
+  return it.local_slots / static_cast<double>(count_local_daemons(in));
+}
+
+/// \return whether this daemon runs as many late requests as it may.
+bool late_requests_full(const front& in, const online_request& it) {
+  auto rate = arrival_rate(in.arrivals, event_loop::steady());
+  return in.late_requests.running >=
+         max_late_running(share_of_slots(in, it), rate, in.slot_time);
 }
 
 /// Chooses a target for a request.
+/// \param late the request gives way to new ones.
 /// \return the target's id; empty if no target should get the request.
-std::string place(front& in, online_request& it) {
+std::string place(front& in, online_request& it, bool late) {
   auto found = targets_of(in, it.service);
   it.load_age = oldest_report(in.board, event_loop::steady());
   it.local_slots = 0;
@@ -113,24 +180,19 @@
     auto is_local = row.away == distance::data_centre;
     if (is_local && row.trusted == trust::full) it.local_slots += row.slots;
   }
-  auto time = caller_time{.goal = it.matched_route->goal,
-                          .timeout = it.matched_route->timeout,
-                          .left = it.deadline - event_loop::steady()};
-  auto out = place_online(found.candidates, placement_of(time, in.slot_time));
+  auto options = placement_of(time_of(it), in.slot_time);
+  auto out = placement{.reason = placement_reason::held_back};
+  if (!late) {
+    out = place_online(found.candidates, options);
+  } else if (!late_requests_full(in, it)) {
+    out = place_late(found.candidates, options);
+  }
   it.placed = out;
   if (!out.target) return {};
   it.load_seen = found.candidates[*out.target].load;
   return found.rows[*out.target]->listed.id;
 }
 
-/// \return the number of daemons in this data centre, including this one; they
-///     share its targets.
-std::size_t count_local_daemons(const front& in) {
-  return 1 +
-         live_members(in.board, in.settings.data_centre, event_loop::steady())
-             .size();
-}
-
 void note_first_byte(front& in, online_request& it) {
   if (it.first_byte) return;
   it.first_byte = event_loop::steady();
@@ -312,6 +374,8 @@
        {"wait_us", std::int64_t{it.placed.wait.count()}},
        {"retry_after_us", std::int64_t{it.retry_after.count()}},
        {"time_left_us", std::int64_t{(it.deadline - it.arrived).count()}},
+       {"waited_us", std::int64_t{it.waited.count()}},
+       {"held_us", std::int64_t{it.held.count()}},
        {"runs", std::uint64_t{it.runs}},
        {"configuration", it.configuration->version},
        {"first_us", it.first_byte ? since(*it.first_byte) : std::int64_t{-1}},
@@ -324,6 +388,7 @@
 /// Tries targets until one answers or none is left.
 /// \return the outcome for the log.
 task<std::string_view> run(front& in, online_request& it) {
+  auto held = std::optional<late_queue_entry>();
   for (;;) {
     auto now = event_loop::steady();
     if (it.client_gone) co_return "client_gone";
@@ -334,8 +399,22 @@
       give_up(it, now);
       co_return "failed";
     }
+    auto late = !(held && held->is_running()) && is_late(in, it);
+    if (late && !held) held.emplace(in.late_requests, it.deadline);
+    if (late && !held->is_first()) {
+      co_await pause_for(late_poll_interval);
+      continue;
+    }
     auto id = std::string();
-    if (it.tried.size() < max_refusals) id = place(in, it);
+    if (it.tried.size() < max_refusals) id = place(in, it, late);
+    if (id.empty() && it.placed.reason == placement_reason::held_back) {
+      co_await pause_for(late_poll_interval);
+      continue;
+    }
+    if (held && !held->is_running()) {
+      held->start();
+      it.held = now - it.arrived;
+    }
     auto* row = id.empty() ? nullptr : find_target(in.targets, id);
     if (row == nullptr) {
       if (it.runs > 0 && it.matched_route->repeatable()) {
@@ -346,13 +425,11 @@
       in.metrics_registry.add(
           counter::sheds, 1,
           in.metrics_registry.of(it.matched_route->name, ""));
-      it.retry_after = promise_return(
-          in.returns,
-          {.wait = it.placed.wait,
-           .slot_time = in.slot_time,
-           .slots =
-               it.local_slots / static_cast<double>(count_local_daemons(in))},
-          now);
+      it.retry_after = promise_return(in.returns,
+                                      {.wait = it.placed.wait,
+                                       .slot_time = in.slot_time,
+                                       .slots = share_of_slots(in, it)},
+                                      now);
       give_up(it, now);
       co_return "refused";
     }
@@ -388,11 +465,11 @@
   it.client = client;
   it.configuration = std::move(configuration);
   it.matched_route = &matched_route;
-  it.arrived = event_loop::steady();
   it.id = find_header(headers, platform::header::request_id);
   it.host = find_header(headers, "Host");
   it.fields = forwarded_header_lines(headers);
-  it.deadline = deadline_of(it);
+  set_times(in, it);
+  if (!is_late(in, it)) note_arrival(in.arrivals, it.arrived);
   it.service = pick_service(matched_route, stable_hash(it.id));
   auto resumed = find_header(headers, platform::header::last_event);
   if (auto last = std::uint64_t{0};
--- a/src/serving/placement.cc
+++ b/src/serving/placement.cc
@@ -12,8 +12,7 @@
 /// step and the network round trip.
 constexpr auto min_first_output = std::chrono::milliseconds(60);
 
-/// A request with at least this much less time left than its route's timeout is
-/// a retry.
+/// A request whose caller has waited for this long is a retry.
 constexpr auto min_retry_delay = return_options().least;
 
 /// Longest queue wait of a request that may not be retried again. Clients
@@ -136,8 +135,7 @@
 placement_options placement_of(const caller_time& time, instant slot_time) {
   auto out = placement_options{.slot_time = slot_time};
   if (time.goal > min_first_output) out.max_wait = time.goal - min_first_output;
-  auto came_back =
-      time.timeout.count() > 0 && time.left + min_retry_delay <= time.timeout;
+  auto came_back = time.waited >= min_retry_delay;
   if (!came_back) return out;
   auto max_useful_wait = time.left - slot_time - min_first_output;
   out.max_wait = std::max(out.max_wait,
@@ -184,6 +182,15 @@
   return {.reason = placement_reason::no_target};
 }
 
+placement place_late(std::span<const candidate> among,
+                     const placement_options& options) {
+  if (auto it = place_at(among, distance::data_centre,
+                         options.slots_per_reserved_late))
+    return *it;
+  if (auto it = lend(among, options.slots_per_reserved_remote)) return *it;
+  return {.reason = placement_reason::held_back};
+}
+
 std::optional<std::size_t> place_batch(std::span<const candidate> among,
                                        const batch_reserve& reserve) {
   auto has_room = [&](const candidate& it, std::uint32_t slots_per_reserved) {
--- a/test/burst-play-test.cc
+++ b/test/burst-play-test.cc
@@ -108,7 +108,7 @@
     }
     auto placed = place_online(
         among, placement_of({.goal = goal,
-                             .timeout = caller_timeout,
+                             .waited = it.came - it.first,
                              .left = it.first + caller_timeout - now_},
                             slot_time));
     if (placed.target) {
--- a/test/online-placement-test.cc
+++ b/test/online-placement-test.cc
@@ -192,8 +192,9 @@
 }
 
 TEST_CASE("a request that came back may wait longer in a queue") {
-  constexpr auto first = caller_time{.goal = 300ms, .timeout = 5s, .left = 5s};
+  constexpr auto first = caller_time{.goal = 300ms, .left = 5s};
   auto back = first;
+  back.waited = 300ms;
   back.left = 4700ms;
   CHECK(placement_of(first, 700ms).max_wait == 240ms);
   CHECK(placement_of(back, 700ms).max_wait == 600ms);
@@ -201,8 +202,8 @@
     back.left = 1s;
     CHECK(placement_of(back, 700ms).max_wait == 240ms);
   }
-  SECTION("a route without a time-out tells nothing of its callers") {
-    back.timeout = {};
+  SECTION("but not if its caller has hardly waited") {
+    back.waited = 140ms;
     CHECK(placement_of(back, 700ms).max_wait == 240ms);
   }
 }
--- a/test/platform-decoding-test.cc
+++ b/test/platform-decoding-test.cc
@@ -69,6 +69,19 @@
   CHECK(it->limits.idle_timeout == 15s);
 }
 
+TEST_CASE("a route tells how long its clients wait for the next event") {
+  auto max_silence = [](const std::string& fields) {
+    auto it = decode_configuration(
+        R"({"version":1,"routes":[{"name":"a","kind":"stream")" + fields +
+        "}]}");
+    return it->routes.at(0).max_silence;
+  };
+  CHECK(max_silence("") == 2s);
+  CHECK(max_silence(R"(,"goalMs":300,"gapAimMs":200)") == 2s);
+  CHECK(max_silence(R"(,"goalMs":300,"gapAimMs":500)") == 4s);
+  CHECK(max_silence(R"(,"goalMs":900,"gapAimMs":200)") == 3600ms);
+}
+
 TEST_CASE("a configuration without a version is refused") {
   CHECK_FALSE(decode_configuration(R"({"routes":[]})").ok());
   CHECK_FALSE(decode_configuration("bytes").ok());
