Give a new job to the data centre that clears it first

Cause: a job ran where it was submitted.

The daemon that accepts a job chooses its owner by the tokens that wait in each data centre for each slot that online load leaves, averaged over seconds, and within it by what waits at each daemon. Items still give way at once, as they run in their owner's data centre.

--- a/include/fulmarpitch/serving/load-board.h
+++ b/include/fulmarpitch/serving/load-board.h
@@ -151,6 +151,18 @@
 std::optional<std::string> find_store_helper(const load_board& board,
                                              std::uint64_t key, instant now);
 
+/// A live daemon that reaches the platform's store.
+struct store_member {
+  std::string name;
+  std::uint64_t incarnation = 0;
+  std::string data_centre;
+};
+
+/// Lists the other live daemons that reach the store, in all data centres.
+/// \param now current time on the steady clock.
+std::vector<store_member> live_store_members(const load_board& board,
+                                             instant now);
+
 /// Aggregates the loads of the own data centre into a summary.
 /// \param now current time on the steady clock.
 load_summary summarise(const load_board& board, const summary_member& self,
--- a/src/serving/front.h
+++ b/src/serving/front.h
@@ -22,6 +22,7 @@
 #include "fulmarpitch/serving/crash-book.h"
 #include "fulmarpitch/serving/event-log.h"
 #include "fulmarpitch/serving/feed.h"
+#include "fulmarpitch/serving/job-owner.h"
 #include "fulmarpitch/serving/job-run.h"
 #include "fulmarpitch/serving/late-queue.h"
 #include "fulmarpitch/serving/load-board.h"
@@ -167,6 +168,9 @@
 
   job_book book;
   uncounted_jobs unordered;
+  data_centre_loads mean_loads;
+  /// When the mean loads were last updated, on the steady clock.
+  instant mean_loads_updated{};
   change_signal book_changed;
   job_runs runs;
   /// When the owners of other daemons' jobs are checked next, on the steady
@@ -318,6 +322,8 @@
 /// Preempts or withdraws batch items where this daemon's own requests wait,
 /// regardless of the load reports of other daemons.
 void preempt_for_waiting_requests(front& in, instant now);
+/// Updates the mean loads of the data centres.
+void observe_loads(front& in, instant now);
 /// Hands this daemon's jobs over to other daemons, each independently; skips
 /// jobs whose handover is already in progress.
 void release_jobs(front& in);
--- a/src/serving/job-submission.cc
+++ b/src/serving/job-submission.cc
@@ -151,6 +151,7 @@
       {{"job", it.job.id},
        {"route", it.job.route},
        {"end", name_in(acceptance_outcome_names, how)},
+       {"owner", it.job.owner.name},
        {"items", std::uint64_t{it.job.items}},
        {"tokens", it.tokens},
        {"limit", it.limit},
@@ -227,6 +228,16 @@
   return false;
 }
 
+/// \return the daemons that may run a new job.
+std::vector<job_owner> owner_candidates(const front& in) {
+  auto out = std::vector{in.self};
+  for (const auto& it : live_store_members(in.board, event_loop::steady())) {
+    out.push_back({.name = concat(it.name, "#", it.incarnation),
+                   .data_centre = it.data_centre});
+  }
+  return out;
+}
+
 submission make_submission(const front& in, std::string host, std::string id,
                            const route& path,
                            std::span<const submitted_item> items) {
@@ -239,7 +250,8 @@
              .items = static_cast<std::uint32_t>(items.size()),
              .waiting_tokens = out.tokens,
              .accepted = store_time(in).value_or(instant{}),
-             .owner = in.self};
+             .owner = choose_owner(in.book, owner_candidates(in), in.mean_loads,
+                                   in.self, out.tokens)};
   return out;
 }
 
--- a/src/serving/job-system.cc
+++ b/src/serving/job-system.cc
@@ -374,8 +374,26 @@
   }
 }
 
+void observe_loads(front& in, instant now) {
+  constexpr auto interval = std::chrono::milliseconds(200);
+  auto elapsed = now - in.mean_loads_updated;
+  if (elapsed < interval) return;
+  in.mean_loads_updated = now;
+  auto current = data_centre_loads();
+  auto loads = all_loads(in.board, now);
+  for (const auto& [id, row] : in.targets.rows) {
+    if (is_leaving(row) || row.seen.replaced) continue;
+    auto& sum = current[row.listed.data_centre];
+    sum.slots += row.listed.slots;
+    if (auto it = loads.find(row.key); it != loads.end())
+      sum.online += it->second.online;
+  }
+  update_mean_loads(in.mean_loads, current, elapsed);
+}
+
 void run_jobs(front& in) {
   auto now = event_loop::steady();
+  observe_loads(in, now);
   apply_job_updates(in);
   fail_overdue_items(in);
   adopt_jobs(in, now);
--- a/src/serving/load-board.cc
+++ b/src/serving/load-board.cc
@@ -247,6 +247,27 @@
   return among[key % among.size()];
 }
 
+std::vector<store_member> live_store_members(const load_board& board,
+                                             instant now) {
+  auto out = std::vector<store_member>();
+  for (const auto& [name, it] : board.members) {
+    if (!is_live(board, it, now) || it.report.store_lost) continue;
+    out.push_back({.name = name,
+                   .incarnation = it.report.incarnation,
+                   .data_centre = it.report.data_centre});
+  }
+  for (const auto& [name, row] : board.summaries) {
+    if (!is_live(board, row, now)) continue;
+    for (const auto& it : row.summary.members) {
+      if (it.store_lost) continue;
+      out.push_back({.name = it.name,
+                     .incarnation = it.incarnation,
+                     .data_centre = name});
+    }
+  }
+  return out;
+}
+
 void drop_silent_members(load_board& board, instant now) {
   auto limit = board.options.member_expiry * removal_expiries;
   auto silent = [&](const auto& it) { return now - it.second.heard > limit; };
--- a/test/load-board-test.cc
+++ b/test/load-board-test.cc
@@ -215,6 +215,28 @@
   CHECK_FALSE(find_store_helper(board, 0, 60s));
 }
 
+TEST_CASE("live daemons that reach the store are listed everywhere") {
+  auto board = load_board{.data_centre = "dc"};
+  CHECK(live_store_members(board, 0s).empty());
+  REQUIRE(take_report(board, report("b", 1), 0s));
+  auto cut_off = report("c", 1);
+  cut_off.store_lost = true;
+  REQUIRE(take_report(board, cut_off, 0s));
+  auto far = load_summary{.data_centre = "other", .sequence = 1};
+  far.members = {{.name = "x", .incarnation = 7, .store_lost = true},
+                 {.name = "y", .incarnation = 8}};
+  REQUIRE(take_summary(board, far, 0s));
+  auto found = live_store_members(board, 0s);
+  REQUIRE(found.size() == 2);
+  CHECK(found[0].name == "b");
+  CHECK(found[0].data_centre == "dc");
+  CHECK(found[1].name == "y");
+  CHECK(found[1].incarnation == 8);
+  CHECK(found[1].data_centre == "other");
+  CHECK(live_store_members(board, 3s).size() == 1);
+  CHECK(live_store_members(board, 60s).empty());
+}
+
 TEST_CASE("what members hold against a target adds up and ages") {
   auto board = load_board{.data_centre = "dc"};
   auto first = report("b", 1);
