Queue a request briefly at home before lending a slot elsewhere

Cause: in a peak all data centres are full, and the loads of the others are half a second old.

A queue at home goes before a slot elsewhere as long as it takes no more than half of the wait that the goal allows.

Holding a late request is a function of its own.

--- a/include/fulmarpitch/serving/late-queue.h
+++ b/include/fulmarpitch/serving/late-queue.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <set>
 #include <utility>
@@ -23,7 +24,8 @@
 /// 10 to 20 s. A route's timeout tells only how long it allows them to wait.
 struct observed_time_limit {
   /// Requests by the time that their callers waited from then on, rounded down.
-  using histogram = std::map<instant, std::uint32_t>;
+  /// The longest time comes first.
+  using histogram = std::map<instant, std::uint32_t, std::greater<>>;
   histogram recent;
   histogram before;
   /// When the current period of observation began, on the steady clock.
@@ -99,7 +101,6 @@
 
   /// The request is held no longer.
   void start();
-  bool is_running() const { return running_; }
 
  private:
   late_queue& queue_;
--- a/include/fulmarpitch/serving/placement.h
+++ b/include/fulmarpitch/serving/placement.h
@@ -69,6 +69,9 @@
   instant slot_time = std::chrono::milliseconds(700);
   /// Longest wait in a target's queue that still meets the latency goal.
   instant max_wait = std::chrono::milliseconds(200);
+  /// Longest wait at home that is preferred to a slot in another data centre:
+  /// its load is half a second old, and in a peak its slots are often taken.
+  instant max_home_wait = std::chrono::milliseconds(100);
   /// One in this many slots of a target in another data centre is not used
   /// while the local queue is short: reports of its load are half a second
   /// old, so that several daemons would take the last slot at once.
--- a/src/serving/late-queue.cc
+++ b/src/serving/late-queue.cc
@@ -39,9 +39,9 @@
   for (const auto& [left, n] : counts)
     all += n;
   auto as_long = std::uint32_t{0};
-  for (auto it = counts.rbegin(); it != counts.rend(); ++it) {
-    as_long += it->second;
-    if (as_long * requests_per_first_attempt >= all) return it->first;
+  for (const auto& [left, n] : counts) {
+    as_long += n;
+    if (as_long * requests_per_first_attempt >= all) return left;
   }
   return {};
 }
--- a/src/serving/online.cc
+++ b/src/serving/online.cc
@@ -59,6 +59,8 @@
   instant deadline{};
   /// How long the client had waited before it sent this attempt.
   instant waited{};
+  /// Set once the request was late.
+  std::optional<late_queue_entry> late_entry;
   /// How long it was held here as it gave way to new requests.
   instant held{};
   std::optional<instant> first_byte;
@@ -167,10 +169,8 @@
          max_late_running(share_of_slots(in, it), rate, in.slot_time);
 }
 
-/// Chooses a target for a request.
-/// \param late the request gives way to new ones.
-/// \return the target's id; empty if no target should get the request.
-std::string place(front& in, online_request& it, bool late) {
+/// Collects the targets for a request and counts the slots near by.
+service_targets candidates_for(front& in, online_request& it) {
   auto found = targets_of(in, it.service);
   it.load_age = oldest_report(in.board, event_loop::steady());
   it.local_slots = 0;
@@ -180,19 +180,53 @@
     auto is_local = row.away == distance::data_centre;
     if (is_local && row.trusted == trust::full) it.local_slots += row.slots;
   }
-  auto options = placement_of(time_of(it), in.slot_time);
-  auto out = placement{.reason = placement_reason::held_back};
-  if (!late) {
-    out = place_online(found.candidates, options);
-  } else if (!late_requests_full(in, it)) {
-    out = place_late(found.candidates, options);
-  }
+  return found;
+}
+
+/// Records a placement.
+/// \return the target's id; empty if no target should get the request.
+std::string take_placement(online_request& it, const service_targets& found,
+                           const placement& out) {
   it.placed = out;
   if (!out.target) return {};
   it.load_seen = found.candidates[*out.target].load;
   return found.rows[*out.target]->listed.id;
 }
 
+/// Chooses a target for a request.
+/// \return the target's id; empty if no target should get the request.
+std::string place(front& in, online_request& it) {
+  auto found = candidates_for(in, it);
+  return take_placement(
+      it, found,
+      place_online(found.candidates, placement_of(time_of(it), in.slot_time)));
+}
+
+/// Chooses a target for a late request that is next to start.
+/// \return the target's id; empty while the request is to be held.
+std::string place_held(front& in, online_request& it) {
+  auto found = candidates_for(in, it);
+  auto out = placement{.reason = placement_reason::held_back};
+  if (!late_requests_full(in, it)) out = place_late(found.candidates, {});
+  return take_placement(it, found, out);
+}
+
+/// Holds a late request until there is a slot that new requests do not need, or
+/// until it may be held no longer.
+/// \return the target's id; empty if the request is to be placed as others are.
+task<std::string> hold(front& in, online_request& it) {
+  auto& entry = it.late_entry.emplace(in.late_requests, it.deadline);
+  auto id = std::string();
+  while (is_late(in, it) && !it.client_gone) {
+    if (entry.is_first()) id = place_held(in, it);
+    if (!id.empty()) break;
+    co_await pause_for(late_poll_interval);
+  }
+  entry.start();
+  it.held = event_loop::steady() - it.arrived;
+  co_return id;
+}
+
 void note_first_byte(front& in, online_request& it) {
   if (it.first_byte) return;
   it.first_byte = event_loop::steady();
@@ -388,7 +422,6 @@
 /// Tries targets until one answers or none is left.
 /// \return the outcome for the log.
 task<std::string_view> run(front& in, online_request& it) {
-  auto held = std::optional<late_queue_entry>();
   for (;;) {
     auto now = event_loop::steady();
     if (it.client_gone) co_return "client_gone";
@@ -399,22 +432,10 @@
       give_up(it, now);
       co_return "failed";
     }
-    auto late = !(held && held->is_running()) && is_late(in, it);
-    if (late && !held) held.emplace(in.late_requests, it.deadline);
-    if (late && !held->is_first()) {
-      co_await pause_for(late_poll_interval);
-      continue;
-    }
     auto id = std::string();
-    if (it.tried.size() < max_refusals) id = place(in, it, late);
-    if (id.empty() && it.placed.reason == placement_reason::held_back) {
-      co_await pause_for(late_poll_interval);
-      continue;
-    }
-    if (held && !held->is_running()) {
-      held->start();
-      it.held = now - it.arrived;
-    }
+    if (!it.late_entry && is_late(in, it)) id = co_await hold(in, it);
+    if (it.client_gone) co_return "client_gone";
+    if (id.empty() && it.tried.size() < max_refusals) id = place(in, it);
     auto* row = id.empty() ? nullptr : find_target(in.targets, id);
     if (row == nullptr) {
       if (it.runs > 0 && it.matched_route->repeatable()) {
--- a/src/serving/placement.cc
+++ b/src/serving/placement.cc
@@ -135,6 +135,7 @@
 placement_options placement_of(const caller_time& time, instant slot_time) {
   auto out = placement_options{.slot_time = slot_time};
   if (time.goal > min_first_output) out.max_wait = time.goal - min_first_output;
+  out.max_home_wait = out.max_wait / 2;
   auto came_back = time.waited >= min_retry_delay;
   if (!came_back) return out;
   auto max_useful_wait = time.left - slot_time - min_first_output;
@@ -146,7 +147,6 @@
 placement place_online(std::span<const candidate> among,
                        const placement_options& options) {
   if (auto it = place_at(among, distance::data_centre, 0)) return *it;
-  if (auto it = lend(among, options.slots_per_reserved_remote)) return *it;
   auto queue = least(
       among,
       [&](const candidate& it) {
@@ -159,6 +159,8 @@
       queue ? expected_wait(among[*queue], options.slot_time) : instant::max();
   auto in_queue = placement{
       .target = queue, .reason = placement_reason::short_queue, .wait = wait};
+  if (has_home && wait <= options.max_home_wait) return in_queue;
+  if (auto it = lend(among, options.slots_per_reserved_remote)) return *it;
   auto in_time = queue && wait <= options.max_wait;
   if (in_time && has_home) return in_queue;
   if (auto it = lend(among, 0)) return *it;
