--- a/include/fulmarpitch/serving/late-queue.h
+++ b/include/fulmarpitch/serving/late-queue.h
@@ -20,14 +20,18 @@
 
 namespace fulmar::serving {
 
+/// Requests by the time that their callers waited from then on.
+struct time_limit_counts {
+  /// Times are rounded down; the longest comes first.
+  std::map<instant, std::uint32_t, std::greater<>> by_time;
+  std::uint32_t all = 0;
+};
+
 /// How long the callers of a route wait for an answer, as observed in the last
 /// 10 to 20 s. A route's timeout tells only how long it allows them to wait.
 struct observed_time_limit {
-  /// Requests by the time that their callers waited from then on, rounded down.
-  /// The longest time comes first.
-  using histogram = std::map<instant, std::uint32_t, std::greater<>>;
-  histogram recent;
-  histogram before;
+  time_limit_counts recent;
+  time_limit_counts before;
   /// When the current period of observation began, on the steady clock.
   instant began{};
 };
@@ -37,9 +41,9 @@
 /// \param now current time on the steady clock.
 void note_time_limit(observed_time_limit& limit, instant left, instant now);
 
-/// \return the time limit of first attempts: a tenth of the requests or more
-/// had
-///     as long, and a few callers that wait longer do not count.
+/// Computes the time limit of first attempts: the longest one that a tenth of
+/// the requests reached, so that a few callers that wait longer do not count.
+/// \return zero if no request was observed.
 instant time_limit(const observed_time_limit& limit);
 
 /// Bounds of holding a late request.
--- a/src/serving/late-queue.cc
+++ b/src/serving/late-queue.cc
@@ -24,22 +24,24 @@
 void note_time_limit(observed_time_limit& limit, instant left, instant now) {
   if (now - limit.began >= observation_period) {
     auto is_next = now - limit.began < 2 * observation_period;
-    limit = {.before = is_next ? std::move(limit.recent)
-                               : observed_time_limit::histogram(),
+    limit = {.before = is_next ? std::move(limit.recent) : time_limit_counts(),
              .began = now};
   }
-  ++limit.recent[left - left % time_limit_step];
+  ++limit.recent.by_time[left - left % time_limit_step];
+  ++limit.recent.all;
 }
 
 instant time_limit(const observed_time_limit& limit) {
-  auto counts = limit.before;
-  for (const auto& [left, n] : limit.recent)
-    counts[left] += n;
-  auto all = std::uint32_t{0};
-  for (const auto& [left, n] : counts)
-    all += n;
+  const auto& a = limit.recent.by_time;
+  const auto& b = limit.before.by_time;
+  auto all = limit.recent.all + limit.before.all;
   auto as_long = std::uint32_t{0};
-  for (const auto& [left, n] : counts) {
+  auto in_a = a.begin();
+  auto in_b = b.begin();
+  while (in_a != a.end() || in_b != b.end()) {
+    auto from_a =
+        in_b == b.end() || (in_a != a.end() && in_a->first >= in_b->first);
+    const auto& [left, n] = from_a ? *in_a++ : *in_b++;
     as_long += n;
     if (as_long * requests_per_first_attempt >= all) return left;
   }
--- a/src/serving/online.cc
+++ b/src/serving/online.cc
@@ -24,6 +24,8 @@
 /// Deadline of a request if neither the client nor the route sets a shorter
 /// one.
 constexpr auto max_request_time = std::chrono::seconds(60);
+constexpr auto max_request_ms =
+    std::int64_t{std::chrono::milliseconds(max_request_time).count()};
 
 /// Interval at which a held request looks for a free slot.
 constexpr auto late_poll_interval = std::chrono::milliseconds(10);
@@ -112,7 +114,7 @@
   auto left_ms = std::int64_t{0};
   if (!absl::SimpleAtoi(std::string(text), &left_ms) || left_ms <= 0)
     return std::nullopt;
-  return std::chrono::milliseconds(left_ms);
+  return std::chrono::milliseconds(std::min(left_ms, max_request_ms));
 }
 
 /// Sets the deadline of a request and how long its client has waited before.
