--- a/include/fulmarpitch/serving/feed.h
+++ b/include/fulmarpitch/serving/feed.h
@@ -69,6 +69,16 @@
 /// new work after 3 s.
 inline constexpr auto feed_expiry = std::chrono::milliseconds(1400);
 
+/// Time after which what one daemon told a client must be known to all.
+inline constexpr auto settle_time = std::chrono::milliseconds(1000);
+
+/// Part of the settle time that a page takes to arrive and an answer to leave.
+inline constexpr auto settle_margin = std::chrono::milliseconds(100);
+
+/// Decides whether a row that is not in the copy of a table does not exist, as
+/// far as a client may know. Pages stop when the daemon that reads is lost.
+bool shows_absence(const feed_state& it, instant now);
+
 /// \param reads whether this daemon reads for its data centre.
 /// \return whether this daemon should poll the store for changes.
 bool must_poll(const feed_state& it, bool reads, instant now);
--- a/src/serving/feed.cc
+++ b/src/serving/feed.cc
@@ -86,6 +86,10 @@
 
 }  // namespace
 
+bool shows_absence(const feed_state& it, instant now) {
+  return now - it.confirmed <= settle_time - settle_margin;
+}
+
 bool must_poll(const feed_state& it, bool reads, instant now) {
   if (it.version == 0 || it.gap || reads) return true;
   return now - it.confirmed > feed_expiry;
--- a/src/serving/job-calls.cc
+++ b/src/serving/job-calls.cc
@@ -21,9 +21,6 @@
 constexpr auto end_retry_delay = std::chrono::milliseconds(100);
 constexpr auto end_timeout = std::chrono::milliseconds(2000);
 
-/// Age limit of the job book for concluding that a result does not exist.
-constexpr auto max_book_age = std::chrono::milliseconds(1300);
-
 /// Limits on the results in one response, which may hold 1 MB: 40 results of
 /// 20 KB fit.
 constexpr std::uint32_t max_results_per_response = 40;
@@ -102,7 +99,7 @@
   auto until = event_loop::steady() +
                requested_wait(client->request()).value_or(instant{});
   *job = co_await wait_for_result(in, *job, position, until);
-  auto stale = event_loop::steady() - in.feeds.jobs.confirmed > max_book_age;
+  auto stale = !shows_absence(in.feeds.jobs, event_loop::steady());
   if (job->listed.size() <= position && stale)
     job = co_await read_job(in, job->host, id);
   auto results =
--- a/test/feed-test.cc
+++ b/test/feed-test.cc
@@ -109,6 +109,17 @@
   CHECK(now - 10s + 1100ms < 3s);
 }
 
+// The reader was lost with its power; a result that another daemon had shown
+// 1.1 s before was said to be missing.
+TEST_CASE(
+    "after a second without pages a copy does not show that a row is absent") {
+  auto state = feed_state{.version = 10, .confirmed = 10s};
+  CHECK(shows_absence(state, 10s));
+  CHECK(shows_absence(state, 10900ms));
+  CHECK_FALSE(shows_absence(state, 10950ms));
+  CHECK_FALSE(shows_absence(state, 11s));
+}
+
 TEST_CASE("a page round-trips through encoding") {
   auto from = page(10, 12, {row("x", 11), row("y", 12, "")});
   from.rows[1].removed = true;
