--- a/support/scripted-target.h
+++ b/support/scripted-target.h
@@ -27,6 +27,9 @@
   std::string endless{};
   /// Closes the connection after the response.
   bool close = false;
+  /// Resets the connection after the response, once the other side has had
+  /// time to read it.
+  bool reset = false;
   /// Neither responds nor closes the connection.
   bool silent = false;
   /// Time to wait before responding.
@@ -116,6 +119,14 @@
       if (it.delay.count() > 0) co_await pause_for(it.delay);
       co_await asio::async_write(socket, asio::buffer(it.bytes), as_result);
       if (!it.endless.empty()) co_await send_endlessly(socket, it.endless);
+      if (it.reset) {
+        co_await pause_for(std::chrono::milliseconds(50));
+        auto ignored = boost::system::error_code();
+        socket.set_option(tcp::socket::linger(true, 0), ignored);
+        // Destroying the socket would clear the option.
+        socket.close(ignored);
+        co_return;
+      }
       if (it.close) co_return;
     }
   }
