Take a stream that ends inside an event as broken off in any framing

What callers saw: an answer framed as complete whose last event was cut short, after the target that ran it had crashed.

Cause: an answer may have neither a length nor chunks and end with its connection, so a crash ends its body as its framing says. The daemon looked for a half event only on routes that may be resumed; on the others it sent the last chunk. For a batch item, and for a stream that is resumed, a connection that ended before the first event counted as the end of the stream, so an item could be listed as done without its rest.

Class: the end of a body taken for the end of a stream. One function now decides both for online streams and for items, from the framing and from the events: a stream that ends inside an event, or whose connection ends before an event, is broken off. It is resumed or, where it may not be, the client's connection is closed without a last chunk. Such an end counts as an end of the target, as a reset does. A line `stream_broken_off` gives the reason.

--- a/include/fulmarpitch/net/event-splitter.h
+++ b/include/fulmarpitch/net/event-splitter.h
@@ -48,8 +48,15 @@
   /// \return bytes of an event that broke off.
   std::string_view rest() const { return rest_; }
 
+  /// \return whether an event has begun whose end has not arrived.
+  bool is_inside_event() const;
+
+  /// \return whether an event with an id or with data was taken.
+  bool has_events() const { return has_events_; }
+
  private:
   std::string rest_;
+  bool has_events_ = false;
   std::size_t without_news_ = 0;
 };
 
--- a/include/fulmarpitch/net/http-link.h
+++ b/include/fulmarpitch/net/http-link.h
@@ -29,6 +29,8 @@
   /// Length of the body; nothing for chunks or a body that ends with the
   /// connection.
   std::optional<std::uint64_t> length;
+  /// The body has neither a length nor chunks and ends with the connection.
+  bool ends_with_connection = false;
 };
 
 class http_link;
--- a/src/net/event-splitter.cc
+++ b/src/net/event-splitter.cc
@@ -51,7 +51,12 @@
     if (line.ends_with('\r')) line.remove_suffix(1);
     take_line(out, line);
   }
+  if (out.id || out.has_data) has_events_ = true;
   return out;
 }
 
+bool event_splitter::is_inside_event() const {
+  return rest_.find_first_not_of("\r\n") != std::string::npos;
+}
+
 }  // namespace fulmar
--- a/src/net/http-link.cc
+++ b/src/net/http-link.cc
@@ -33,6 +33,7 @@
   }
   if (auto length = from.content_length(); length && !from.chunked())
     out.length = *length;
+  out.ends_with_connection = from.need_eof();
   return out;
 }
 
--- a/src/serving/attempt.cc
+++ b/src/serving/attempt.cc
@@ -74,6 +74,23 @@
   return entry.target_silent || code_of(why) != error_code::deadline_exceeded;
 }
 
+stream_end end_of_stream(const answer_head& head,
+                         const event_splitter& events) {
+  if (events.is_inside_event()) return stream_end::inside_event;
+  if (head.ends_with_connection && !events.has_events())
+    return stream_end::without_events;
+  return stream_end::whole;
+}
+
+void log_broken_stream(front& in, std::string_view request_id,
+                       std::string_view target, stream_end end,
+                       std::uint64_t last_event) {
+  in.log.add("stream_broken_off", {{"request_id", request_id},
+                                   {"target", target},
+                                   {"end", name_in(stream_end_names, end)},
+                                   {"last_event", last_event}});
+}
+
 void log_attempt(front& in, const target_request& request, const target& to,
                  const attempt_result& result) {
   auto content = content_key(request.method, request.path, request.body);
--- a/src/serving/attempt.h
+++ b/src/serving/attempt.h
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include "front.h"
+#include "fulmarpitch/net/event-splitter.h"
 
 namespace fulmar::serving {
 
@@ -55,6 +56,37 @@
 ///     rather than because this daemon closed it or the deadline passed.
 bool is_target_lost(const live_attempt& entry, const absl::Status& why);
 
+/// How a stream ended.
+enum class stream_end {
+  whole,
+  /// The target ended its stream in the middle of an event.
+  inside_event,
+  /// The connection, whose end marks the stream's end, ended before any event.
+  without_events,
+  /// The connection failed, or this daemon closed it.
+  connection_failed,
+  /// The stream sent more bytes than its events account for.
+  endless,
+};
+
+inline constexpr std::array<named<stream_end>, 5> stream_end_names{{
+    {stream_end::whole, "whole"},
+    {stream_end::inside_event, "inside_event"},
+    {stream_end::without_events, "without_events"},
+    {stream_end::connection_failed, "connection_failed"},
+    {stream_end::endless, "endless"},
+}};
+
+/// Decides whether a stream is whole whose body ended as its framing says. A
+/// target that crashes may end the body, too.
+/// \param events the stream's events, all taken.
+stream_end end_of_stream(const answer_head& head, const event_splitter& events);
+
+/// Logs a stream that broke off.
+void log_broken_stream(front& in, std::string_view request_id,
+                       std::string_view target, stream_end end,
+                       std::uint64_t last_event);
+
 /// Logs an attempt that got no answer.
 void log_attempt(front& in, const target_request& request, const target& to,
                  const attempt_result& result);
--- a/src/serving/job-system.cc
+++ b/src/serving/job-system.cc
@@ -89,7 +89,7 @@
 }
 
 task<attempt_end> read_events(front& in, item_attempt& it, http_link& link,
-                              live_attempt& entry) {
+                              const answer_head& head, live_attempt& entry) {
   const auto& to = entry.target;
   auto events = event_splitter();
   for (;;) {
@@ -114,8 +114,11 @@
     record_target_failure(in, to, target_fault::broke_off);
     co_return attempt_end::broken;
   }
-  auto whole = events.rest().empty() && it.last_event > 0;
-  co_return whole ? attempt_end::complete : attempt_end::broken;
+  auto end = end_of_stream(head, events);
+  if (end == stream_end::whole && it.last_event > 0)
+    co_return attempt_end::complete;
+  log_broken_stream(in, it.request.id, to, end, it.last_event);
+  co_return attempt_end::broken;
 }
 
 task<attempt_end> attempt_item(front& in, item_attempt& it, target to) {
@@ -150,7 +153,7 @@
       link->close();
       co_return attempt_end::broken;
     }
-    end = co_await read_events(in, it, *link, entry.row());
+    end = co_await read_events(in, it, *link, head, entry.row());
   } else {
     auto rest = co_await link->read_rest(max_error_body_bytes);
     if (!rest.ok()) co_return attempt_end::broken;
--- a/src/serving/online.cc
+++ b/src/serving/online.cc
@@ -253,6 +253,19 @@
   }
 }
 
+/// Records a stream that broke off, unless this daemon closed it.
+/// \param status the connection's error, if it failed.
+void note_broken_stream(front& in, online_request& it,
+                        const live_attempt& entry, stream_end end,
+                        const absl::Status& status) {
+  log_broken_stream(in, it.id, it.to.id, end, it.last_event);
+  auto late = code_of(status) == error_code::deadline_exceeded;
+  if (!entry.stopped && !late)
+    record_target_failure(in, it.to.id, target_fault::broke_off);
+  auto lost = end != stream_end::endless && is_target_lost(entry, status);
+  if (lost) note_target_end(in, content_of(it), it.id, it.to);
+}
+
 task<serve_outcome> forward_stream(front& in, online_request& it,
                                    http_link& link, const answer_head& head,
                                    live_attempt& entry) {
@@ -265,11 +278,8 @@
   for (;;) {
     auto piece = co_await link.read_piece();
     if (!piece.ok()) {
-      auto late = code_of(piece.status()) == error_code::deadline_exceeded;
-      if (!entry.stopped && !late)
-        record_target_failure(in, it.to.id, target_fault::broke_off);
-      if (is_target_lost(entry, piece.status()))
-        note_target_end(in, content_of(it), it.id, it.to);
+      note_broken_stream(in, it, entry, stream_end::connection_failed,
+                         piece.status());
       // The bytes of a truncated event are dropped: they must not be joined
       // with those of the next attempt.
       co_return serve_outcome::broken;
@@ -282,11 +292,14 @@
     forward_events(it, events);
     if (!events.is_endless()) continue;
     link.close();
-    record_target_failure(in, it.to.id, target_fault::broke_off);
+    note_broken_stream(in, it, entry, stream_end::endless, absl::OkStatus());
     co_return serve_outcome::broken;
   }
-  if (it.matched_route->resumable && !events.rest().empty())
+  if (auto end = end_of_stream(head, events); end != stream_end::whole) {
+    link.close();
+    note_broken_stream(in, it, entry, end, absl::OkStatus());
     co_return serve_outcome::broken;
+  }
   note_answered(in, it);
   it.client->finish();
   co_return serve_outcome::answered;
--- a/test/event-splitter-test.cc
+++ b/test/event-splitter-test.cc
@@ -52,3 +52,24 @@
   CHECK_FALSE(events[0].id);
   CHECK(events[1].data.empty());
 }
+
+TEST_CASE("an event that has begun is told from line feeds behind an event") {
+  struct ending {
+    const char* text;
+    bool inside;
+    bool has_events;
+  };
+  auto it = GENERATE(values<ending>({{"", false, false},
+                                     {":comment\n\n", false, false},
+                                     {":comm", true, false},
+                                     {"id: 1\n\n", false, true},
+                                     {"data:\n\n\n\r\n", false, true},
+                                     {"data:\n\ni", true, true},
+                                     {"data: a\r\n\r", true, false}}));
+  CAPTURE(it.text);
+  auto in = event_splitter();
+  in.feed(it.text);
+  split(in);
+  CHECK(in.is_inside_event() == it.inside);
+  CHECK(in.has_events() == it.has_events);
+}
