Log the shared parts of a prompt under which a target ended

Reported: requests with one part in their prompts kept crashing targets, 43 in all, long after the fifth. Each `target_ended` line of the record has another content and one end (65 lines), so the lines can't tell which part the requests share. They now carry the hashes of all parts but the last, which belongs to the request alone.

Hypotheses before any change of logic: (1) crashes are counted by the whole content of a request, and no two of these requests are alike, so that none is ever held; (2) they are counted, and daemons learn of each other's counts too late; (3) an answer of another kind clears the count. The record speaks for (1): all counts are 1; 6 lines tell of held or cleared contents.

--- a/include/fulmarpitch/serving/crash-book.h
+++ b/include/fulmarpitch/serving/crash-book.h
@@ -27,6 +27,20 @@
 std::uint64_t content_key(std::string_view method, std::string_view path,
                           std::string_view body);
 
+/// Hashes a part of a prompt.
+/// \param model the model that reads the prompt; the same part may crash one
+///     model and not another.
+/// \param id the part's id.
+std::uint64_t part_key(std::string_view model, std::string_view id);
+
+/// What a request has that may crash targets, as keys of the crash records.
+struct crash_causes {
+  /// Key of the whole content.
+  std::uint64_t content = 0;
+  /// Keys of the prompt's parts that other requests may share.
+  std::vector<std::uint64_t> parts;
+};
+
 /// Kind of a recorded fact about a content.
 enum class crash_event_kind {
   /// A target ended while running the content.
--- a/src/serving/crash-book.cc
+++ b/src/serving/crash-book.cc
@@ -79,6 +79,11 @@
                   stable_hash(body));
 }
 
+std::uint64_t part_key(std::string_view model, std::string_view id) {
+  return mix_hash(mix_hash(stable_hash("prompt part"), stable_hash(model)),
+                  stable_hash(id));
+}
+
 std::string crash_key(const crash_event& it) {
   return concat(hex(it.content), ".", name_in(crash_event_kind_names, it.kind),
                 ".", hex(it.number));
--- a/src/serving/crash-system.cc
+++ b/src/serving/crash-system.cc
@@ -8,6 +8,8 @@
 #include "fulmarpitch/core/invariant.h"
 #include "fulmarpitch/core/rendezvous.h"
 #include "fulmarpitch/core/text.h"
+#include "platform/names.h"
+#include "platform/prompt-parts.h"
 
 namespace fulmar::serving {
 namespace {
@@ -120,10 +122,27 @@
   co_return taken;
 }
 
+std::string format_keys(const std::vector<std::uint64_t>& keys) {
+  auto out = std::string();
+  for (auto it : keys)
+    out += concat(out.empty() ? "" : ",", hex(it));
+  return out;
+}
+
 }  // namespace
 
-void note_target_end(front& in, std::uint64_t content, std::string_view request,
-                     const target& to) {
+crash_causes crash_causes_of(const http_request& request) {
+  auto out = crash_causes{
+      .content = content_key(request.method, request.target, request.body)};
+  auto model = find_header(request.headers, platform::header::model);
+  for (const auto& it : platform::shared_prompt_parts(request.headers))
+    out.parts.push_back(part_key(model, it));
+  return out;
+}
+
+void note_target_end(front& in, const crash_causes& causes,
+                     std::string_view request, const target& to) {
+  auto content = causes.content;
   auto sound = is_sound(in.crashes, content);
   if (!sound) {
     record_and_queue(in, {.content = content,
@@ -133,6 +152,7 @@
   const auto& it = in.crashes.records.at(content);
   in.log.add("target_ended", {{"request_id", request},
                               {"content", hex(content)},
+                              {"parts", format_keys(causes.parts)},
                               {"target", to.id},
                               {"ends", std::uint64_t{it.ends.size()}},
                               {"sound", sound}});
--- a/src/serving/crash-system.h
+++ b/src/serving/crash-system.h
@@ -16,12 +16,14 @@
 /// on the store's clock.
 inline constexpr const char* crash_table = "crashes";
 
+/// Computes the keys under which crashes of a request are recorded.
+crash_causes crash_causes_of(const http_request& request);
+
 /// Records that a target ended, or may have ended, while running a request.
-/// \param content content key of the request.
 /// \param request id of the request.
 /// \param to the target.
-void note_target_end(front& in, std::uint64_t content, std::string_view request,
-                     const target& to);
+void note_target_end(front& in, const crash_causes& causes,
+                     std::string_view request, const target& to);
 
 /// Records that a target answered a request.
 void note_answer(front& in, std::uint64_t content);
--- a/src/serving/online.cc
+++ b/src/serving/online.cc
@@ -55,8 +55,8 @@
   std::string id;
   std::string host;
   std::string fields;
-  /// Key of the request's content in the crash records; computed on first use.
-  std::optional<std::uint64_t> content;
+  /// Keys of the request in the crash records; computed on first use.
+  std::optional<crash_causes> causes;
   instant arrived{};
   instant deadline{};
   /// How long the client had waited before it sent this attempt.
@@ -89,12 +89,9 @@
   target to;
 };
 
-std::uint64_t content_of(online_request& it) {
-  if (!it.content) {
-    const auto& request = it.client->request();
-    it.content = content_key(request.method, request.target, request.body);
-  }
-  return *it.content;
+const crash_causes& causes_of(online_request& it) {
+  if (!it.causes) it.causes = crash_causes_of(it.client->request());
+  return *it.causes;
 }
 
 /// How an attempt to serve a request at one target ended.
@@ -239,7 +236,7 @@
 
 /// Records that a target answered the request, if any crashes are on record.
 void note_answered(front& in, online_request& it) {
-  if (!in.crashes.records.empty()) note_answer(in, content_of(it));
+  if (!in.crashes.records.empty()) note_answer(in, causes_of(it).content);
 }
 
 /// Consumes the complete events that have arrived. Events of a resumable stream
@@ -263,7 +260,7 @@
   if (!entry.stopped && !late)
     record_target_failure(in, it.to.id, target_fault::broke_off);
   auto lost = end != stream_end::endless && is_target_lost(entry, status);
-  if (lost) note_target_end(in, content_of(it), it.id, it.to);
+  if (lost) note_target_end(in, causes_of(it), it.id, it.to);
 }
 
 task<serve_outcome> forward_stream(front& in, online_request& it,
@@ -321,7 +318,7 @@
   auto body = co_await link.read_rest(max_answer_bytes);
   if (!body.ok()) {
     if (is_target_lost(entry, body.status()))
-      note_target_end(in, content_of(it), it.id, it.to);
+      note_target_end(in, causes_of(it), it.id, it.to);
     co_return serve_outcome::broken;
   }
   note_answered(in, it);
@@ -375,7 +372,7 @@
     it.attempt = nullptr;
     log_attempt(in, outgoing, to, attempt);
     if (attempt.outcome == attempt_outcome::broken) note_run(it);
-    if (attempt.target_lost) note_target_end(in, content_of(it), it.id, it.to);
+    if (attempt.target_lost) note_target_end(in, causes_of(it), it.id, it.to);
     co_return attempt.outcome == attempt_outcome::broken
         ? serve_outcome::broken
         : serve_outcome::not_run;
@@ -471,7 +468,8 @@
     }
     it.to = row->listed;
     if (!in.crashes.records.empty() && !it.holds_trial) {
-      auto permit = co_await acquire_run_permit(in, content_of(it), it.id);
+      auto permit =
+          co_await acquire_run_permit(in, causes_of(it).content, it.id);
       if (permit.what == run_permit::kind::held) {
         it.retry_after = permit.retry_after;
         give_up(it, now, "targets ended under this request");
