Start the port search of tests that run side by side far apart

serving-daemon-test failed once to start a daemon while three other tests ran beside it: tests that start one after the other have neighbouring process ids, began 20 ports apart and each take a hundred or more, so that one took a port between another's check and its bind. Each now has a range of 1,000 ports, shared only by ids that are 22 apart.

--- a/support/serving-fixture.h
+++ b/support/serving-fixture.h
@@ -98,9 +98,12 @@
 }
 
 /// Finds a free port below the kernel's ephemeral range: outgoing connections
-/// take ports of that range while the test runs.
+/// take ports of that range while the test runs. Tests that start one after the
+/// other begin far apart, as another one may take a port before it is bound.
 inline std::uint16_t free_port() {
-  static auto next = 10'000 + getpid() % 1'000 * 20;
+  constexpr auto ports_per_test = 1'000;
+  constexpr auto tests = 22;
+  static auto next = 10'000 + getpid() % tests * ports_per_test;
   for (;;) {
     auto port = static_cast<std::uint16_t>(next++);
     if (is_free<tcp>("127.0.0.1", port) && is_free<tcp>("127.0.0.2", port) &&
