Hold requests with a part of their prompts that crashes targets

What callers saw: requests of one kind crashed targets one after the other, 43 in all, 35 of them after the fifth crash; up to a quarter of the sound requests of those seconds were not served.

Cause: crashes were recorded by the whole content of a request only. The requests share one part of their prompts and are otherwise not alike, so no record ever had a second end. Class: a cause that several requests share is not seen where each request is counted for itself.

Change: an end of a target is recorded for each part that other requests may share, too, in the same records and the same table of the store. A part stands in sound requests as well, so its ends are weighed against answers: only ends after the last whole answer count, three of them hold the part. A part that was answered within 2 s is not recorded at all, which keeps the first part of all prompts out of the records; ends of a target that was also running a held part that was never answered do not count against a part that was. Without the store a daemon grants the trials itself, as nobody else could clear a part that was only unlucky. Answers to items clear parts, too; items are never held.

--- a/include/fulmarpitch/serving/crash-book.h
+++ b/include/fulmarpitch/serving/crash-book.h
@@ -1,10 +1,15 @@
 #pragma once
 
 /// \file
-/// Records of requests that were running when targets ended. Some requests
-/// crash every target that starts to run them, and callers resend them to any
-/// daemon; others only happened to be running when a target crashed. All
-/// daemons share these records through the store.
+/// Records of what was running when targets ended: whole requests, and parts of
+/// prompts that many requests share. Some requests or parts crash every target
+/// that starts to run them, and come again at any daemon; others only happened
+/// to be running when a target crashed. All daemons share these records through
+/// the store.
+///
+/// A request is known to be sound once a target has answered it. A part stands
+/// in requests that are otherwise not alike, so its record weighs ends against
+/// answers: only ends after the last whole answer count.
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
@@ -41,27 +46,31 @@
   std::vector<std::uint64_t> parts;
 };
 
-/// Kind of a recorded fact about a content.
+/// Kind of a recorded fact about a content or a part.
 enum class crash_event_kind {
-  /// A target ended while running the content.
+  /// A target ended while running it.
   end,
-  /// A trial run of a held content was granted.
+  /// A trial run was granted while it is held.
   trial,
   /// A target completed an answer to the content.
   sound,
+  /// A target completed an answer to a request with the part.
+  answer,
 };
 
-inline constexpr std::array<named<crash_event_kind>, 3> crash_event_kind_names{{
+inline constexpr std::array<named<crash_event_kind>, 4> crash_event_kind_names{{
     {crash_event_kind::end, "end"},
     {crash_event_kind::trial, "trial"},
     {crash_event_kind::sound, "sound"},
+    {crash_event_kind::answer, "answer"},
 }};
 
-/// One fact about a content. A fact recorded twice counts once.
+/// One fact about a content or a part. A fact recorded twice counts once.
 struct crash_event {
+  /// Key of the content or of the part.
   std::uint64_t content = 0;
   crash_event_kind kind = crash_event_kind::end;
-  /// Identifies an end of the content, or is the zero-based trial index.
+  /// Identifies an end, or is the zero-based trial index.
   std::uint64_t number = 0;
   /// Time of the event, on a clock chosen by the caller.
   instant at{};
@@ -74,9 +83,9 @@
 /// \return the event without its time, or nothing if the key is malformed.
 std::optional<crash_event> parse_crash_key(std::string_view key);
 
-/// Thresholds and delays for holding contents.
+/// Thresholds and delays for holding contents and parts.
 struct crash_options {
-  /// Number of ends from which on a content is held.
+  /// Number of ends from which on a content or a part is held.
   std::size_t hold_threshold = 3;
   /// Delays before the trial runs that a held content is granted, as the
   /// crashes may have had another cause. No further trials are granted after
@@ -89,50 +98,84 @@
   instant held_retention = quarantine_time;
   /// Maximum number of records; a new one evicts the oldest.
   std::size_t max_records = 4096;
+  /// A part that was answered within this time is not recorded when a target
+  /// ends: the end has another cause, or the next answers are missing soon.
+  instant recent_answer_time = std::chrono::seconds(2);
+  /// Maximum number of parts whose last answers are remembered.
+  std::size_t max_answered_parts = 8192;
+  /// Maximum number of trials of a part, over all its answers.
+  std::uint32_t max_trials = 64;
 };
 
-/// Recorded events of one content.
+/// Recorded events of one content or part.
 struct crash_record {
-  /// Numbers of the recorded ends.
-  absl::flat_hash_set<std::uint64_t> ends;
+  /// Times of the recorded ends, on the steady clock, by their numbers.
+  absl::flat_hash_map<std::uint64_t, instant> ends;
   /// Number of trials granted.
   std::uint32_t trials = 0;
+  /// Trials granted before the last answer.
+  std::uint32_t trials_before_answer = 0;
   bool sound = false;
+  /// Time of the last answer to a request with the part, on the steady clock.
+  std::optional<instant> answered;
   /// Time of the last event, on the steady clock.
   instant last{};
 };
 
-/// Records of all contents that were running when targets ended.
+/// When requests with a part were last answered by targets. Holds the parts
+/// answered last; half of them are dropped when it is full.
+struct answered_parts {
+  absl::flat_hash_map<std::uint64_t, instant> newer;
+  absl::flat_hash_map<std::uint64_t, instant> older;
+};
+
+/// Records of all contents and parts that were running when targets ended.
 struct crash_registry {
   absl::flat_hash_map<std::uint64_t, crash_record> records;
+  /// Answers that this daemon has seen, also of parts without a record.
+  answered_parts answered;
   crash_options options;
 };
 
 /// Records an event whose time is on the steady clock.
 void note_event(crash_registry& registry, const crash_event& it);
 
-/// Decision on whether a content may run.
+/// Records that a target answered a request with a part.
+/// \return whether the other daemons have to learn of it, because ends of the
+///     part are recorded that counted until now.
+bool note_part_answer(crash_registry& registry, std::uint64_t part,
+                      instant now);
+
+/// Selects the parts to record when a target ends while running a request:
+/// those that were not answered just before.
+std::vector<std::uint64_t> parts_to_record(
+    const crash_registry& registry, const std::vector<std::uint64_t>& parts,
+    instant now);
+
+/// Decision on whether a content or a part may run.
 struct run_permit {
   enum class kind { free, trial, held };
 
   kind what = kind::free;
   /// For a trial: its index, which only one daemon may claim.
   std::uint32_t trial = 0;
-  /// For a held content: time until the next trial, or until the record
-  /// expires.
+  /// When held: time until the next trial, or until the record expires.
   instant retry_after{};
 };
 
-/// Decides whether a content may run now.
-run_permit decide_run(const crash_registry& registry, std::uint64_t content,
+/// Decides whether a content or a part may run now. An end does not count
+/// against a part that was answered before if the target was also running a
+/// part or content that is held and was never answered.
+/// \param key of the content or of the part.
+run_permit decide_run(const crash_registry& registry, std::uint64_t key,
                       instant now);
 
 /// \return whether a target has answered the content, which shows that it does
 ///     not crash targets.
 bool is_sound(const crash_registry& registry, std::uint64_t content);
 
-/// Removes expired records.
-/// \return the store keys of the events of the removed records.
+/// Removes expired records, and ends that an answer has outlived.
+/// \return the store keys of the removed events.
 std::vector<std::string> expire_records(crash_registry& registry, instant now);
 
 }  // namespace fulmar::serving
--- a/src/serving/crash-book.cc
+++ b/src/serving/crash-book.cc
@@ -3,6 +3,8 @@
 #include <absl/strings/numbers.h>
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 #include "fulmarpitch/core/invariant.h"
 #include "fulmarpitch/core/rendezvous.h"
@@ -13,10 +15,61 @@
 
 constexpr char key_separator = '.';
 
+std::optional<instant> find_time(
+    const absl::flat_hash_map<std::uint64_t, instant>& in, std::uint64_t key) {
+  auto it = in.find(key);
+  if (it == in.end()) return std::nullopt;
+  return it->second;
+}
+
+/// \return when a request with the part was last answered, as seen by this
+///     daemon; empty if it does not know of any.
+std::optional<instant> last_seen_answer(const crash_registry& registry,
+                                        std::uint64_t part) {
+  // An empty optional compares less than any time.
+  return std::max(find_time(registry.answered.newer, part),
+                  find_time(registry.answered.older, part));
+}
+
+bool counts(const crash_record& it, instant end) {
+  return !it.answered || end > *it.answered;
+}
+
+std::size_t count_ends(const crash_record& it) {
+  return static_cast<std::size_t>(
+      std::count_if(it.ends.begin(), it.ends.end(),
+                    [&](const auto& end) { return counts(it, end.second); }));
+}
+
 bool is_held(const crash_registry& registry, const crash_record& it) {
-  return !it.sound && it.ends.size() >= registry.options.hold_threshold;
+  return !it.sound && count_ends(it) >= registry.options.hold_threshold;
 }
 
+/// \return whether an end of a target has a likelier cause than a part that was
+///     answered before: something held that was never answered.
+bool is_explained(const crash_registry& registry, std::uint64_t end) {
+  return std::any_of(registry.records.begin(), registry.records.end(),
+                     [&](const auto& it) {
+                       const auto& record = it.second;
+                       return !record.answered && record.ends.contains(end) &&
+                              is_held(registry, record);
+                     });
+}
+
+/// \return whether a record is held for ends that nothing else explains.
+bool is_blamed(const crash_registry& registry, const crash_record& it) {
+  if (!is_held(registry, it)) return false;
+  if (!it.answered) return true;
+  auto unexplained = [&](const auto& end) {
+    return counts(it, end.second) && !is_explained(registry, end.first);
+  };
+  auto n = std::count_if(it.ends.begin(), it.ends.end(), unexplained);
+  return static_cast<std::size_t>(n) >= registry.options.hold_threshold;
+}
+
+/// Adds a record if there is none.
+crash_record& find_or_add(crash_registry& registry, std::uint64_t key);
+
 bool has_expired(const crash_registry& registry, const crash_record& it,
                  instant now) {
   auto kept = is_held(registry, it) ? registry.options.held_retention
@@ -37,17 +90,34 @@
   registry.records.erase(oldest);
 }
 
+crash_record& find_or_add(crash_registry& registry, std::uint64_t key) {
+  if (!registry.records.contains(key)) evict_if_full(registry);
+  auto [it, added] = registry.records.try_emplace(key);
+  if (added) it->second.answered = last_seen_answer(registry, key);
+  return it->second;
+}
+
 /// Clamps the number, as a row in the store may hold any value.
-void count_trial(crash_record& record, std::uint64_t number, std::size_t most) {
+void count_trial(crash_record& record, std::uint64_t number,
+                 const crash_options& options) {
+  auto most = std::min<std::uint64_t>(
+      record.trials_before_answer + options.trial_delays.size(),
+      options.max_trials);
   auto count = std::min<std::uint64_t>(number, most - 1) + 1;
   record.trials = std::max(record.trials, static_cast<std::uint32_t>(count));
 }
 
-/// \return the store keys of all recorded events of a content.
+void take_answer(crash_record& record, instant at) {
+  if (record.answered && at <= *record.answered) return;
+  record.answered = at;
+  record.trials_before_answer = record.trials;
+}
+
+/// \return the store keys of all recorded events of a content or part.
 std::vector<std::string> event_keys(std::uint64_t content,
                                     const crash_record& it) {
   auto out = std::vector<std::string>();
-  for (auto number : it.ends)
+  for (const auto& [number, at] : it.ends)
     out.push_back(crash_key({.content = content, .number = number}));
   for (auto number = std::uint32_t{0}; number < it.trials; ++number) {
     out.push_back(crash_key({.content = content,
@@ -58,6 +128,23 @@
     out.push_back(
         crash_key({.content = content, .kind = crash_event_kind::sound}));
   }
+  if (it.answered) {
+    out.push_back(
+        crash_key({.content = content, .kind = crash_event_kind::answer}));
+  }
+  return out;
+}
+
+/// Removes the ends that no longer count and are older than the retention.
+/// \return their store keys.
+std::vector<std::string> expire_ends(std::uint64_t content, crash_record& it,
+                                     instant retention, instant now) {
+  auto out = std::vector<std::string>();
+  absl::erase_if(it.ends, [&](const auto& end) {
+    if (counts(it, end.second) || now - end.second <= retention) return false;
+    out.push_back(crash_key({.content = content, .number = end.first}));
+    return true;
+  });
   return out;
 }
 
@@ -100,31 +187,64 @@
 }
 
 void note_event(crash_registry& registry, const crash_event& it) {
-  if (!registry.records.contains(it.content)) evict_if_full(registry);
-  auto& record = registry.records[it.content];
+  auto& record = find_or_add(registry, it.content);
   record.last = std::max(record.last, it.at);
   switch (it.kind) {
-    case crash_event_kind::end:
-      record.ends.insert(it.number);
+    case crash_event_kind::end: {
+      // Daemons see one end at different times; the first counts.
+      auto& at = record.ends.try_emplace(it.number, it.at).first->second;
+      at = std::min(at, it.at);
       break;
+    }
     case crash_event_kind::trial:
-      count_trial(record, it.number, registry.options.trial_delays.size());
+      count_trial(record, it.number, registry.options);
       break;
     case crash_event_kind::sound:
       record.sound = true;
       break;
+    case crash_event_kind::answer:
+      take_answer(record, it.at);
+      break;
   }
 }
 
-run_permit decide_run(const crash_registry& registry, std::uint64_t content,
+bool note_part_answer(crash_registry& registry, std::uint64_t part,
                       instant now) {
-  auto found = registry.records.find(content);
+  auto& known = registry.answered;
+  known.newer[part] = now;
+  if (known.newer.size() >= registry.options.max_answered_parts / 2)
+    known.older = std::exchange(known.newer, {});
+  auto found = registry.records.find(part);
+  if (found == registry.records.end()) return false;
+  auto counted = count_ends(found->second) > 0;
+  take_answer(found->second, now);
+  return counted;
+}
+
+std::vector<std::uint64_t> parts_to_record(
+    const crash_registry& registry, const std::vector<std::uint64_t>& parts,
+    instant now) {
+  auto out = std::vector<std::uint64_t>();
+  for (auto it : parts) {
+    auto answered = last_seen_answer(registry, it);
+    if (answered && now - *answered <= registry.options.recent_answer_time)
+      continue;
+    out.push_back(it);
+  }
+  return out;
+}
+
+run_permit decide_run(const crash_registry& registry, std::uint64_t key,
+                      instant now) {
+  auto found = registry.records.find(key);
   if (found == registry.records.end()) return {};
   const auto& it = found->second;
-  if (!is_held(registry, it) || has_expired(registry, it, now)) return {};
+  if (has_expired(registry, it, now) || !is_blamed(registry, it)) return {};
   const auto& pauses = registry.options.trial_delays;
-  auto last_trial = it.trials >= pauses.size();
-  auto pause = last_trial ? registry.options.held_retention : pauses[it.trials];
+  auto used = it.trials - it.trials_before_answer;
+  auto last_trial =
+      used >= pauses.size() || it.trials >= registry.options.max_trials;
+  auto pause = last_trial ? registry.options.held_retention : pauses[used];
   auto wait = it.last + pause - now;
   if (wait > instant{} || last_trial) {
     return {.what = run_permit::kind::held,
@@ -140,13 +260,18 @@
 
 std::vector<std::string> expire_records(crash_registry& registry, instant now) {
   auto out = std::vector<std::string>();
-  absl::erase_if(registry.records, [&](const auto& row) {
-    const auto& [content, it] = row;
-    if (!has_expired(registry, it, now)) return false;
-    for (auto& key : event_keys(content, it))
-      out.push_back(std::move(key));
-    return true;
+  auto retention = registry.options.retention;
+  absl::erase_if(registry.records, [&](auto& row) {
+    auto& [content, it] = row;
+    auto expired = has_expired(registry, it, now);
+    auto keys = expired ? event_keys(content, it)
+                        : expire_ends(content, it, retention, now);
+    std::move(keys.begin(), keys.end(), std::back_inserter(out));
+    return expired;
   });
+  auto is_old = [&](const auto& it) { return now - it.second > retention; };
+  absl::erase_if(registry.answered.newer, is_old);
+  absl::erase_if(registry.answered.older, is_old);
   return out;
 }
 
--- a/src/serving/crash-system.cc
+++ b/src/serving/crash-system.cc
@@ -122,6 +122,15 @@
   co_return taken;
 }
 
+/// Grants a trial of a part without the store.
+void grant_trial(front& in, const crash_event& trial) {
+  record_and_queue(in, trial);
+  in.log.add("trial", {{"content", hex(trial.content)},
+                       {"number", trial.number},
+                       {"store_answered", false},
+                       {"taken", true}});
+}
+
 std::string format_keys(const std::vector<std::uint64_t>& keys) {
   auto out = std::string();
   for (auto it : keys)
@@ -132,11 +141,16 @@
 }  // namespace
 
 crash_causes crash_causes_of(const http_request& request) {
-  auto out = crash_causes{
-      .content = content_key(request.method, request.target, request.body)};
-  auto model = find_header(request.headers, platform::header::model);
-  for (const auto& it : platform::shared_prompt_parts(request.headers))
-    out.parts.push_back(part_key(model, it));
+  return {.content = content_key(request.method, request.target, request.body),
+          .parts = part_keys_of(request.headers)};
+}
+
+std::vector<std::uint64_t> part_keys_of(
+    const std::vector<http_header>& headers) {
+  auto out = std::vector<std::uint64_t>();
+  auto model = find_header(headers, platform::header::model);
+  for (const auto& it : platform::shared_prompt_parts(headers))
+    out.push_back(part_key(model, it));
   return out;
 }
 
@@ -149,10 +163,17 @@
                           .number = end_number(request, to),
                           .at = event_loop::steady()});
   }
+  auto parts = parts_to_record(in.crashes, causes.parts, event_loop::steady());
+  for (auto part : parts) {
+    record_and_queue(in, {.content = part,
+                          .number = end_number(request, to),
+                          .at = event_loop::steady()});
+  }
   const auto& it = in.crashes.records.at(content);
   in.log.add("target_ended", {{"request_id", request},
                               {"content", hex(content)},
                               {"parts", format_keys(causes.parts)},
+                              {"parts_recorded", format_keys(parts)},
                               {"target", to.id},
                               {"ends", std::uint64_t{it.ends.size()}},
                               {"sound", sound}});
@@ -167,25 +188,57 @@
   in.log.add("content_sound", {{"content", hex(content)}});
 }
 
-task<run_permit> acquire_run_permit(front& in, std::uint64_t content,
+void note_parts_answered(front& in, const std::vector<std::uint64_t>& parts) {
+  auto now = event_loop::steady();
+  for (auto part : parts) {
+    if (!note_part_answer(in.crashes, part, now)) continue;
+    record_and_queue(
+        in, {.content = part, .kind = crash_event_kind::answer, .at = now});
+    in.log.add("part_answered", {{"part", hex(part)}});
+  }
+}
+
+task<run_permit> acquire_run_permit(front& in, crash_causes causes,
                                     std::string request) {
+  auto keys = std::move(causes.parts);
+  keys.insert(keys.begin(), causes.content);
   auto now = event_loop::steady();
-  auto permit = decide_run(in.crashes, content, now);
-  if (permit.what == run_permit::kind::trial) {
-    ensure(permit.trial < in.crashes.options.trial_delays.size(),
-           invariant::limit_holds, "a content has more trials than allowed");
-    auto trial = crash_event{.content = content,
-                             .kind = crash_event_kind::trial,
-                             .number = permit.trial,
-                             .at = now};
-    auto taken = co_await claim_trial(in, trial);
-    if (taken) co_return permit;
-    permit = {.what = run_permit::kind::held,
-              .retry_after = in.crashes.options.trial_delays.front()};
+  auto trials = std::vector<crash_event>();
+  for (auto key : keys) {
+    auto permit = decide_run(in.crashes, key, now);
+    if (permit.what == run_permit::kind::held) {
+      log_held(in, key, request, permit);
+      co_return permit;
+    }
+    if (permit.what != run_permit::kind::trial) continue;
+    const auto& options = in.crashes.options;
+    auto most = key == causes.content ? options.trial_delays.size()
+                                      : options.max_trials;
+    ensure(permit.trial < most, invariant::limit_holds,
+           "a content or a part has more trials than allowed");
+    trials.push_back({.content = key,
+                      .kind = crash_event_kind::trial,
+                      .number = permit.trial,
+                      .at = now});
+  }
+  for (const auto& it : trials) {
+    auto taken = false;
+    // Without the store nobody else can clear a part that was only unlucky.
+    if (it.content != causes.content && store_lost(in)) {
+      grant_trial(in, it);
+      taken = true;
+    } else {
+      taken = co_await claim_trial(in, it);
+    }
+    if (taken) continue;
+    auto permit =
+        run_permit{.what = run_permit::kind::held,
+                   .retry_after = in.crashes.options.trial_delays.front()};
+    log_held(in, it.content, request, permit);
+    co_return permit;
   }
-  if (permit.what == run_permit::kind::held)
-    log_held(in, content, request, permit);
-  co_return permit;
+  co_return run_permit{.what = trials.empty() ? run_permit::kind::free
+                                              : run_permit::kind::trial};
 }
 
 void apply_crash_rows(front& in, const std::vector<stored_row>& rows) {
--- a/src/serving/crash-system.h
+++ b/src/serving/crash-system.h
@@ -1,8 +1,8 @@
 #pragma once
 
 /// \file
-/// Shares the records of contents that were running when targets ended with the
-/// other daemons, through the store.
+/// Shares the records of contents and prompt parts that were running when
+/// targets ended with the other daemons, through the store.
 
 #include <cstdint>
 #include <string>
@@ -28,12 +28,19 @@
 /// Records that a target answered a request.
 void note_answer(front& in, std::uint64_t content);
 
+/// Records that a target answered a request with success, to its end.
+/// \param parts keys of the shared parts of its prompt.
+void note_parts_answered(front& in, const std::vector<std::uint64_t>& parts);
+
+/// Computes the keys of the shared parts of a request's prompt.
+std::vector<std::uint64_t> part_keys_of(
+    const std::vector<http_header>& headers);
+
 /// Decides whether a request may run now. A trial is claimed in the store, so
 /// that only one daemon grants it.
-/// \param content content key of the request.
 /// \param request id of the request.
 /// \return a permit of kind `held` if it may not run.
-task<run_permit> acquire_run_permit(front& in, std::uint64_t content,
+task<run_permit> acquire_run_permit(front& in, crash_causes causes,
                                     std::string request);
 
 /// Applies rows read from the store.
--- a/src/serving/job-system.cc
+++ b/src/serving/job-system.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "attempt.h"
+#include "crash-system.h"
 #include "front.h"
 #include "fulmarpitch/core/errors.h"
 #include "fulmarpitch/core/rendezvous.h"
@@ -160,6 +161,8 @@
     if (head.status == status_unprocessable) end = attempt_end::impossible;
   }
   auto answered = end != attempt_end::broken && !entry.row().stopped;
+  if (end == attempt_end::complete)
+    note_parts_answered(in, part_keys_of(it.request.headers));
   if (answered) {
     in.target_links.give_back(link);
     // When the item also failed elsewhere, the item is the likelier cause.
--- a/src/serving/online.cc
+++ b/src/serving/online.cc
@@ -239,6 +239,12 @@
   if (!in.crashes.records.empty()) note_answer(in, causes_of(it).content);
 }
 
+/// Records that a target answered the request with success, to its end.
+void note_served(front& in, online_request& it) {
+  note_answered(in, it);
+  note_parts_answered(in, causes_of(it).parts);
+}
+
 /// Consumes the complete events that have arrived. Events of a resumable stream
 /// are forwarded here, so that it can resume after the last complete one.
 void forward_events(online_request& it, event_splitter& events) {
@@ -297,7 +303,7 @@
     note_broken_stream(in, it, entry, end, absl::OkStatus());
     co_return serve_outcome::broken;
   }
-  note_answered(in, it);
+  note_served(in, it);
   it.client->finish();
   co_return serve_outcome::answered;
 }
@@ -321,7 +327,11 @@
       note_target_end(in, causes_of(it), it.id, it.to);
     co_return serve_outcome::broken;
   }
-  note_answered(in, it);
+  if (success) {
+    note_served(in, it);
+  } else {
+    note_answered(in, it);
+  }
   auto retry = head.status >= min_server_error_status &&
                it.matched_route->repeatable() &&
                it.runs < it.matched_route->attempts;
@@ -468,11 +478,10 @@
     }
     it.to = row->listed;
     if (!in.crashes.records.empty() && !it.holds_trial) {
-      auto permit =
-          co_await acquire_run_permit(in, causes_of(it).content, it.id);
+      auto permit = co_await acquire_run_permit(in, causes_of(it), it.id);
       if (permit.what == run_permit::kind::held) {
         it.retry_after = permit.retry_after;
-        give_up(it, now, "targets ended under this request");
+        give_up(it, now, "targets ended under requests like this one");
         co_return "held";
       }
       it.holds_trial = permit.what == run_permit::kind::trial;
--- a/test/crash-book-test.cc
+++ b/test/crash-book-test.cc
@@ -114,7 +114,7 @@
 
 TEST_CASE("a row key round-trips its event") {
   auto kind = GENERATE(crash_event_kind::end, crash_event_kind::trial,
-                       crash_event_kind::sound);
+                       crash_event_kind::sound, crash_event_kind::answer);
   auto event = crash_event{.content = 77, .kind = kind, .number = 5};
   auto read = parse_crash_key(crash_key(event));
   REQUIRE(read);
@@ -140,3 +140,156 @@
   CHECK(expire_records(registry, 1s + registry.options.retention + 1s).size() ==
         2);
 }
+
+namespace {
+
+void answer_part(crash_registry& registry, instant at) {
+  note_event(registry,
+             {.content = content, .kind = crash_event_kind::answer, .at = at});
+}
+
+void grant_trial(crash_registry& registry, std::uint32_t number, instant at) {
+  note_event(registry, {.content = content,
+                        .kind = crash_event_kind::trial,
+                        .number = number,
+                        .at = at});
+}
+
+}  // namespace
+
+TEST_CASE("a part key depends on the model and the part") {
+  auto key = part_key("m", "a");
+  CHECK(key == part_key("m", "a"));
+  CHECK(key != part_key("n", "a"));
+  CHECK(key != part_key("m", "b"));
+}
+
+TEST_CASE("only ends after the last answer count against a part") {
+  auto registry = crash_registry();
+  end_three_targets(registry, 10s);
+  answer_part(registry, 11s);
+  CHECK(verdict(registry, 11s) == run_permit::kind::free);
+  end_target(registry, 4, 12s);
+  end_target(registry, 5, 12s);
+  // An earlier end that another daemon reports late.
+  end_target(registry, 6, 10s);
+  CHECK(verdict(registry, 12s) == run_permit::kind::free);
+  end_target(registry, 7, 12s);
+  CHECK(verdict(registry, 12s) == run_permit::kind::held);
+}
+
+TEST_CASE("an end that several daemons report counts from its first time") {
+  auto registry = crash_registry();
+  end_three_targets(registry, 10s);
+  answer_part(registry, 11s);
+  end_three_targets(registry, 12s);
+  CHECK(verdict(registry, 12s) == run_permit::kind::free);
+}
+
+TEST_CASE("a part is granted its trials anew after each answer") {
+  auto registry = crash_registry();
+  auto now = instant(10s);
+  auto number = std::uint64_t{100};
+  for (auto trial = std::uint32_t{0}; trial < 10; ++trial) {
+    for (auto n = 0; n < 3; ++n)
+      end_target(registry, ++number, now);
+    auto first = registry.options.trial_delays.front();
+    CHECK(verdict(registry, now) == run_permit::kind::held);
+    now += first;
+    auto permit = decide_run(registry, content, now);
+    REQUIRE(permit.what == run_permit::kind::trial);
+    CHECK(permit.trial == trial);
+    grant_trial(registry, permit.trial, now);
+    CHECK(verdict(registry, now + first) == run_permit::kind::held);
+    now += 1s;
+    answer_part(registry, now);
+    now += 1s;
+  }
+}
+
+TEST_CASE("the trials of a part are bounded over all its answers") {
+  auto registry = crash_registry{.options = {.max_trials = 3}};
+  auto now = instant(10s);
+  auto trials = 0;
+  for (auto n = 0; n < 10; ++n) {
+    end_target(registry, 1000 + n, now);
+    end_target(registry, 2000 + n, now);
+    end_target(registry, 3000 + n, now);
+    now += registry.options.trial_delays.front();
+    auto permit = decide_run(registry, content, now);
+    if (permit.what == run_permit::kind::trial) {
+      ++trials;
+      grant_trial(registry, permit.trial, now);
+    }
+    answer_part(registry, now + 1s);
+    now += 2s;
+  }
+  CHECK(trials == 3);
+}
+
+TEST_CASE("a part that was answered just before is not recorded") {
+  auto registry = crash_registry();
+  CHECK_FALSE(note_part_answer(registry, 1, 10s));
+  CHECK_FALSE(note_part_answer(registry, 2, 11s));
+  auto recent = registry.options.recent_answer_time;
+  CHECK(parts_to_record(registry, {1, 2, 3}, 10s + recent) ==
+        std::vector<std::uint64_t>{3});
+  CHECK(parts_to_record(registry, {1, 2, 3}, 11s + recent) ==
+        std::vector<std::uint64_t>{1, 3});
+}
+
+TEST_CASE("an answer is shared only if ends counted until then") {
+  auto registry = crash_registry();
+  end_target(registry, 1, 10s);
+  CHECK(note_part_answer(registry, content, 11s));
+  CHECK_FALSE(note_part_answer(registry, content, 12s));
+  end_target(registry, 2, 13s);
+  CHECK(note_part_answer(registry, content, 14s));
+}
+
+TEST_CASE("ends of a part with an explanation do not hold an answered part") {
+  constexpr std::uint64_t bad_part = 8;
+  auto registry = crash_registry();
+  note_part_answer(registry, content, 9s);
+  end_three_targets(registry, 12s);
+  CHECK(verdict(registry, 12s) == run_permit::kind::held);
+  for (auto n = std::uint64_t{1}; n <= 3; ++n)
+    note_event(registry, {.content = bad_part, .number = n, .at = 12s});
+  CHECK(verdict(registry, 12s) == run_permit::kind::free);
+  CHECK(decide_run(registry, bad_part, 12s).what == run_permit::kind::held);
+  for (auto n = std::uint64_t{11}; n <= 13; ++n)
+    end_target(registry, n, 13s);
+  CHECK(verdict(registry, 13s) == run_permit::kind::held);
+}
+
+TEST_CASE("a part that was never answered is held though another explains it") {
+  constexpr std::uint64_t other_part = 8;
+  auto registry = crash_registry();
+  end_three_targets(registry, 12s);
+  for (auto n = std::uint64_t{1}; n <= 3; ++n)
+    note_event(registry, {.content = other_part, .number = n, .at = 12s});
+  CHECK(verdict(registry, 12s) == run_permit::kind::held);
+  CHECK(decide_run(registry, other_part, 12s).what == run_permit::kind::held);
+}
+
+TEST_CASE("the parts whose answers are remembered are bounded and expire") {
+  auto registry = crash_registry{.options = {.max_answered_parts = 10}};
+  for (auto n = std::uint64_t{0}; n < 1000; ++n) {
+    note_part_answer(registry, n, 10s);
+    CHECK(registry.answered.newer.size() + registry.answered.older.size() <=
+          10);
+  }
+  CHECK(parts_to_record(registry, {999}, 10s).empty());
+  expire_records(registry, 10s + registry.options.retention + 1s);
+  CHECK(registry.answered.newer.size() + registry.answered.older.size() == 0);
+}
+
+TEST_CASE("ends that an answer has outlived are removed from a kept record") {
+  auto registry = crash_registry();
+  end_three_targets(registry, 10s);
+  answer_part(registry, 11s);
+  auto later = 10s + registry.options.retention + 500ms;
+  CHECK(expire_records(registry, later).size() == 3);
+  CHECK(registry.records.contains(content));
+  CHECK(registry.records.at(content).ends.empty());
+}
--- a/test/crashing-part-test.cc
+++ b/test/crashing-part-test.cc
@@ -138,7 +138,6 @@
   for (auto n = 0; bad_runs(it) < ends_until_known && n < 40; ++n)
     (void)caller.send_bad(position::middle);
   auto known = bad_runs(it);
-  it.daemon.reset();
   it.second = it.start_daemon("vm-2", "127.0.0.2", it.store.address());
   it.run_for(500ms);
   it.client_address = concat("127.0.0.2:", it.ports.client);
@@ -177,3 +176,63 @@
   CHECK(bad_runs(it) <= known + most_later_runs);
   CHECK(served * 2 >= rounds);
 }
+
+TEST_CASE(
+    "crashes without a common cause do not hold the part that all share") {
+  static auto ends_left = 0;
+  auto store_away = GENERATE(false, true);
+  CAPTURE(store_away);
+  auto& it = make_fixture();
+  for (auto n = 0; n < 4; ++n) {
+    it.add_target([](const std::string& head) {
+      if (ends_left-- <= 0) return whole(head);
+      return scripted_answer{
+          .bytes = stream_head(id_of(head)) + chunk(event(1) + "id: 2\nda"),
+          .close = true};
+    });
+  }
+  it.start(true);
+  auto caller = prompt_caller{it};
+  for (auto n = 0; n < 6; ++n)
+    REQUIRE(caller.serves_sound());
+  if (store_away) it.store.set_fault(store_fault::down);
+  for (auto round = 0; round < 8; ++round) {
+    ends_left = 2;
+    (void)caller.send(sound_parts(caller.sent));
+    (void)caller.send(sound_parts(caller.sent));
+    ends_left = 0;
+    it.run_for(300ms);
+    CHECK(caller.serves_sound());
+    CHECK(caller.serves_sound());
+  }
+}
+
+TEST_CASE("a sound part that is held without the store is tried") {
+  static auto ends_left = 3;
+  auto& it = make_fixture();
+  for (auto n = 0; n < 4; ++n) {
+    it.add_target([](const std::string& head) {
+      if (!has_bad_part(head) || ends_left-- <= 0) return whole(head);
+      return scripted_answer{
+          .bytes = stream_head(id_of(head)) + chunk(event(1)), .close = true};
+    });
+  }
+  it.start();
+  auto caller = prompt_caller{it};
+  it.store.set_fault(store_fault::down);
+  for (auto n = 0; ends_left > 0 && n < 20; ++n) {
+    (void)caller.send_bad(position::first);
+    it.run_for(50ms);
+  }
+  auto held = caller.send_bad(position::first);
+  REQUIRE(held.ok());
+  CHECK(held->status == 503);
+  CHECK_FALSE(find_header(held->headers, "Retry-After").empty());
+  auto answer = absl::StatusOr<http_response>(held);
+  for (auto n = 0; answer.ok() && answer->status == 503 && n < 40; ++n) {
+    it.run_for(100ms);
+    answer = caller.send_bad(position::first);
+  }
+  REQUIRE(answer.ok());
+  CHECK(answer->body == whole_text());
+}
