--- a/include/fulmarpitch/net/url.h
+++ b/include/fulmarpitch/net/url.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /// \file
-/// Percent-encoding and the parts of a request target.
+/// Percent-encoding, the parts of a request target, and addresses.
 
 #include <optional>
 #include <string>
@@ -29,6 +29,9 @@
 /// \return its decoded value, empty when absent or malformed.
 std::string query_parameter(std::string_view target, std::string_view name);
 
+/// \return whether a text is an IP address and a port that can be connected to.
+bool is_address(std::string_view text);
+
 /// Takes a prefix off a path.
 /// \param path the path.
 /// \param prefix what it should begin with.
--- a/src/net/url.cc
+++ b/src/net/url.cc
@@ -4,6 +4,8 @@
 
 #include <charconv>
 
+#include "endpoint.h"
+
 namespace fulmar {
 namespace {
 
@@ -71,6 +73,11 @@
   return {};
 }
 
+bool is_address(std::string_view text) {
+  auto it = parse_endpoint(text);
+  return it && it->port() > 0;
+}
+
 std::optional<std::string_view> after_prefix(std::string_view path,
                                              std::string_view prefix) {
   if (path.substr(0, prefix.size()) != prefix) return std::nullopt;
--- a/test/platform-decoding-test.cc
+++ b/test/platform-decoding-test.cc
@@ -1,7 +1,9 @@
 #include "platform/decoding.h"
 
 #include <catch2/catch.hpp>
+#include <map>
 
+#include "fulmarpitch/core/text.h"
 #include "platform/job-bodies.h"
 
 using namespace fulmar;
@@ -102,6 +104,70 @@
   CHECK_FALSE(decode_target("i-2", bad).ok());
 }
 
+namespace {
+
+std::string nested(std::size_t depth) {
+  return std::string(depth, '[') + std::string(depth, ']');
+}
+
+/// An entry of a target with one field replaced.
+std::string entry_with(const std::string& name, const std::string& value) {
+  auto fields = std::map<std::string, std::string>{
+      {"service", R"("s")"}, {"addr", R"("10.0.0.9:80")"}, {"zone", R"("dc")"},
+      {"slots", "8"},        {"state", R"("ready")"},      {"born", "5"}};
+  fields[name] = value;
+  auto out = std::string("{");
+  for (const auto& [key, text] : fields)
+    out += concat(out.size() > 1 ? "," : "", "\"", key, "\":", text);
+  return out + "}";
+}
+
+}  // namespace
+
+TEST_CASE("an entry with an odd value names no target to use") {
+  CHECK(decode_target("i-1", entry_with("slots", "8")).ok());
+  CHECK(decode_target("i-1", entry_with("seq", "1e300")).ok());
+  struct odd_field {
+    const char* name;
+    std::string value;
+  };
+  auto it = GENERATE(
+      values<odd_field>({{"slots", "1e300"},
+                         {"slots", "99999999999999999999"},
+                         {"slots", "4294967304"},
+                         {"slots", "-8"},
+                         {"slots", "8.5"},
+                         {"slots", "1e999"},
+                         {"born", "1e300"},
+                         {"born", R"("5")"},
+                         {"born", "-1"},
+                         {"addr", R"("10.0.0.9:99999")"},
+                         {"addr", R"("10.0.0.9:0")"},
+                         {"addr", R"("10.0.0.9:-80")"},
+                         {"addr", R"("10.0.0.9:")"},
+                         {"addr", R"("10.0.0.9")"},
+                         {"addr", R"("somewhere:80")"},
+                         {"addr", R"("10.0.0.9:18446744073709551696")"},
+                         {"seq", nested(100'000)},
+                         {"service", nested(20)}}));
+  CAPTURE(it.name, it.value.substr(0, 40));
+  CHECK_FALSE(decode_target("i-2", entry_with(it.name, it.value)).ok());
+}
+
+TEST_CASE("numbers beyond their range do not reach the configuration") {
+  auto it = decode_configuration(R"({"version":7,"routes":[
+    {"name":"a","timeoutMs":1e300,"goalMs":-1e300,"attempts":1e300,
+     "maxWaitS":1e18}],"limits":{"maxBodyBytes":1e300}})");
+  REQUIRE(it.ok());
+  const auto& route = it->routes.at(0);
+  CHECK(route.timeout == 0ms);
+  CHECK(route.goal == 0ms);
+  CHECK(route.attempts == 1);
+  CHECK(route.max_wait == 0s);
+  CHECK(it->limits.max_body_bytes == serving::client_limits().max_body_bytes);
+  CHECK_FALSE(decode_settings(R"({"portRange":[70000,-1]})").ok());
+}
+
 TEST_CASE("a submitted job is decoded, or refused with its fault") {
   auto it = decode_submission(R"({"requests":[{"id":"a","path":"/p/1",
     "headers":{"X":"1","Y":2},"body":"q83vEjRWeJA=","tokens":940}]})");
