Forward odd target entries to the data centre without their value

One daemon reads the store for its data centre and forwards changes in datagrams. An entry of 60 KB that names no target did not fit into one, and the changes behind it in the same page were lost with it: the other daemons learnt of a new target only when they read the store themselves, 0.7 s later, and again after each change of the entry.

The value of such an entry is left out, as nothing in it is used. The test puts nested, out-of-range and unreadable entries before two daemons; the nested one failed at the second daemon before, with "no target has a free slot". No daemon ended or stopped following the table in any case.

--- a/src/serving/discovery.cc
+++ b/src/serving/discovery.cc
@@ -161,12 +161,14 @@
   auto out = std::vector<stored_row>();
   for (const auto& it : rows) {
     const auto& id = it.name.key;
-    if (!it.removed) {
-      auto target = platform::decode_target(id, it.value);
-      if (target.ok() && !must_forward(in.targets, *target, now)) continue;
-    }
+    auto target = platform::decode_target(id, it.value);
+    auto valid = !it.removed && target.ok();
+    if (valid && !must_forward(in.targets, *target, now)) continue;
     note_forwarded(in.targets, id, now);
     out.push_back(it);
+    // An entry that names no target may be longer than a datagram, and the
+    // changes behind it would be lost with it.
+    if (!valid) out.back().value.clear();
   }
   return out;
 }
--- a/test/serving-daemon-test.cc
+++ b/test/serving-daemon-test.cc
@@ -585,3 +585,30 @@
   // when the owner changed.
   CHECK(target.heads.size() <= 10);
 }
+
+TEST_CASE("an odd entry among the targets' does not stop a daemon") {
+  auto depth = std::size_t{30'000};
+  auto odd = GENERATE_COPY(
+      std::string(depth, '[') + std::string(depth, ']'),
+      std::string(R"({"service":"s","addr":"127.0.0.1:99999","zone":"dc",)"
+                  R"("slots":8,"state":"ready"})"),
+      std::string(R"({"service":"s","addr":"127.0.0.1:9","zone":"dc",)"
+                  R"("slots":1e300,"born":1e300,"state":"ready"})"),
+      std::string("\xff\x00\x01", 3));
+  auto& it = make_fixture();
+  it.store.put("servers", "a-odd", odd);
+  it.start(true);
+  it.store.put("servers", "z-odd", odd);
+  it.run_for(100ms);
+  it.add_target(whole);
+  for (auto n = 0; n < 3; ++n) {
+    it.store.put("servers", "a-odd", odd);
+    it.run_for(1s);
+    for (const auto* ip : {"127.0.0.1:", "127.0.0.2:"}) {
+      it.client_address = concat(ip, it.ports.client);
+      auto answer = it.post("/once/1", concat("a", n));
+      REQUIRE(answer.ok());
+      CHECK(answer->body == whole_text());
+    }
+  }
+}
