Take no answer of another type as the rest of a stream

A stream had begun and broke off, and the next target answered with a success that was no stream of events: its text was appended to the client's stream, which then ended as complete. A batch item was listed as done with the events that it had before.

An answer that states another type than an event stream is now taken as broken off where a stream goes on, and for items always.

--- a/src/serving/attempt.cc
+++ b/src/serving/attempt.cc
@@ -1,5 +1,7 @@
 #include "attempt.h"
 
+#include <absl/strings/match.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -74,6 +76,12 @@
   return entry.target_silent || code_of(why) != error_code::deadline_exceeded;
 }
 
+bool may_be_stream(const answer_head& head) {
+  auto type = find_header(head.headers, "Content-Type");
+  auto text = absl::string_view(type.data(), type.size());
+  return type.empty() || absl::StartsWithIgnoreCase(text, "text/event-stream");
+}
+
 stream_end end_of_stream(const answer_head& head,
                          const event_splitter& events) {
   if (events.is_inside_event()) return stream_end::inside_event;
--- a/src/serving/attempt.h
+++ b/src/serving/attempt.h
@@ -67,16 +67,23 @@
   connection_failed,
   /// The stream sent more bytes than its events account for.
   endless,
+  /// The body is of another type than a stream of events.
+  other_type,
 };
 
-inline constexpr std::array<named<stream_end>, 5> stream_end_names{{
+inline constexpr std::array<named<stream_end>, 6> stream_end_names{{
     {stream_end::whole, "whole"},
     {stream_end::inside_event, "inside_event"},
     {stream_end::without_events, "without_events"},
     {stream_end::connection_failed, "connection_failed"},
     {stream_end::endless, "endless"},
+    {stream_end::other_type, "other_type"},
 }};
 
+/// \return whether an answer may be a stream of events: it says so, or says
+///     nothing of its type.
+bool may_be_stream(const answer_head& head);
+
 /// Decides whether a stream is whole whose body ended as its framing says. A
 /// target that crashes may end the body, too.
 /// \param events the stream's events, all taken.
--- a/src/serving/job-system.cc
+++ b/src/serving/job-system.cc
@@ -154,6 +154,12 @@
       link->close();
       co_return attempt_end::broken;
     }
+    if (!may_be_stream(head)) {
+      link->close();
+      log_broken_stream(in, it.request.id, to.id, stream_end::other_type,
+                        it.last_event);
+      co_return attempt_end::broken;
+    }
     end = co_await read_events(in, it, *link, head, entry.row());
   } else {
     auto rest = co_await link->read_rest(max_error_body_bytes);
--- a/src/serving/online.cc
+++ b/src/serving/online.cc
@@ -265,7 +265,8 @@
   auto late = code_of(status) == error_code::deadline_exceeded;
   if (!entry.stopped && !late)
     record_target_failure(in, it.to.id, target_fault::broke_off);
-  auto lost = end != stream_end::endless && is_target_lost(entry, status);
+  auto faulty = end == stream_end::endless || end == stream_end::other_type;
+  auto lost = !faulty && is_target_lost(entry, status);
   if (lost) note_target_end(in, causes_of(it), it.id, it.to);
 }
 
@@ -319,6 +320,11 @@
     record_target_failure(in, it.to.id, target_fault::broke_off);
     co_return serve_outcome::broken;
   }
+  if (success && it.head_sent && !may_be_stream(head)) {
+    link.close();
+    note_broken_stream(in, it, entry, stream_end::other_type, absl::OkStatus());
+    co_return serve_outcome::broken;
+  }
   if (success && it.matched_route->kind == route_kind::stream)
     co_return co_await forward_stream(in, it, link, head, entry);
   auto body = co_await link.read_rest(max_answer_bytes);
