Believe no answer without an id on a kept connection

A faulty target wrote an earlier refusal once more on a kept connection. If it did not carry the earlier request's id, it was taken for the answer to the next request: the client was told "not run" for a request that the target was running, and a request that runs at most once could run at a second target.

Targets echo the request's id, so an answer without one can't be attributed on a connection that carried an earlier request: the attempt now counts as broken, as any unreadable answer does, and may have run. On a new connection such an answer is the request's own, as before. An earlier refusal with its id was skipped before and still is.

--- a/include/fulmarpitch/net/http-link.h
+++ b/include/fulmarpitch/net/http-link.h
@@ -84,6 +84,10 @@
   /// \param limit most bytes to take.
   task<absl::StatusOr<std::string>> read_rest(std::size_t limit);
 
+  /// \return whether the connection carried an exchange before the last one, so
+  ///     that an earlier answer may come once more.
+  bool was_used_before() const { return exchanges_ > 1; }
+
   /// Sets the moment at which the link is closed; nothing for no bound.
   void expire_at(std::optional<instant> when) { deadline_ = when; }
 
@@ -128,6 +132,7 @@
   std::array<char, piece_bytes> piece_{};
   std::optional<instant> deadline_;
   std::optional<instant> idle_limit_;
+  std::uint32_t exchanges_ = 0;
   bool expired_ = false;
   bool sending_ = false;
 };
--- a/src/net/http-link.cc
+++ b/src/net/http-link.cc
@@ -90,6 +90,7 @@
   parser_->header_limit(max_head_bytes);
   parser_->body_limit(boost::none);
   sending_ = true;
+  ++exchanges_;
   auto parts = std::array{asio::buffer(head), asio::buffer(body)};
   auto [ec, n] = co_await asio::async_write(socket_, parts, as_result);
   if (ec) co_return failure("sending to", ec);
--- a/src/serving/attempt.cc
+++ b/src/serving/attempt.cc
@@ -51,22 +51,24 @@
   return {.outcome = attempt_outcome::answered, .head = std::move(head)};
 }
 
-/// Reads response heads until one carries the request's id or none, skipping
-/// responses to other requests.
+/// Reads response heads until one carries the request's id, skipping responses
+/// to other requests. A response without an id is the request's own only on a
+/// connection that carried no earlier request.
 task<absl::StatusOr<answer_head>> read_own_head(http_link& link,
                                                 std::string_view id) {
   for (auto strays = 0;; ++strays) {
     auto head = co_await link.read_head();
     if (!head.ok()) co_return head.status();
     auto owner = find_header(head->headers, platform::header::request_id);
-    if (owner.empty() || owner == id) co_return std::move(*head);
-    if (strays == max_stray_answers) break;
+    if (owner == id || (owner.empty() && !link.was_used_before()))
+      co_return std::move(*head);
+    if (owner.empty() || strays == max_stray_answers) break;
     auto rest = co_await link.read_rest(max_stray_bytes);
     if (!rest.ok()) co_return rest.status();
   }
   link.close();
   co_return make_error(error_code::attempt_failed,
-                       "received only responses to other requests");
+                       "received no response that names the request");
 }
 
 }  // namespace
--- a/support/scripted-target.h
+++ b/support/scripted-target.h
@@ -44,10 +44,10 @@
  public:
   using script = std::function<scripted_answer(const std::string& head)>;
 
-  scripted_target(event_loop& loop, script answer,
+  scripted_target(event_loop& loop, script respond,
                   answer_time when = answer_time::after_body)
-      : acceptor_(io_of(loop), {asio::ip::make_address("127.0.0.1"), 0}),
-        answer_(std::move(answer)),
+      : answer(std::move(respond)),
+        acceptor_(io_of(loop), {asio::ip::make_address("127.0.0.1"), 0}),
         when_(when) {
     asio::co_spawn(io_of(loop), accept(), asio::detached);
   }
@@ -56,11 +56,15 @@
     return concat("127.0.0.1:", acceptor_.local_endpoint().port());
   }
 
+  /// Gives the response to each request.
+  script answer;
   /// Heads of the requests received.
   std::vector<std::string> heads;
   std::vector<std::string> bodies;
   /// Number of open connections.
   int open = 0;
+  /// The connection whose request the script answers, counted from 1.
+  int connection = 0;
   /// Bytes sent from `scripted_answer::endless`.
   std::size_t endless_bytes = 0;
 
@@ -82,6 +86,7 @@
 
   task<void> serve_all(tcp::socket socket) {
     auto input = std::string();
+    auto number = ++accepted_;
     for (;;) {
       auto [ec, n] = co_await asio::async_read_until(
           socket, asio::dynamic_buffer(input), "\r\n\r\n", as_result);
@@ -97,7 +102,8 @@
       auto early = when_ == answer_time::before_body;
       auto it = scripted_answer();
       if (early) {
-        it = answer_(head);
+        connection = number;
+        it = answer(head);
         co_await asio::async_write(socket, asio::buffer(it.bytes), as_result);
       }
       while (input.size() < n + body) {
@@ -111,7 +117,8 @@
       input.erase(0, n + body);
       heads.push_back(head);
       if (early) continue;
-      it = answer_(head);
+      connection = number;
+      it = answer(head);
       if (it.silent) {
         silent_.push_back(std::make_unique<tcp::socket>(std::move(socket)));
         co_return;
@@ -141,8 +148,8 @@
   }
 
   tcp::acceptor acceptor_;
-  script answer_;
   answer_time when_;
+  int accepted_ = 0;
   std::vector<std::unique_ptr<tcp::socket>> silent_;
 };
 
--- /dev/null
+++ b/test/kept-connection-test.cc
@@ -0,0 +1,69 @@
+// End-to-end tests over loopback of targets that repeat an earlier refusal on a
+// kept connection, or that refuse without saying that the request did not run.
+
+#include <catch2/catch.hpp>
+
+#include "serving-fixture.h"
+
+using namespace fulmar;
+using namespace fulmar::serving_test;
+
+namespace {
+
+std::string refusal(const std::string& status, const std::string& fields) {
+  return concat("HTTP/1.1 ", status, "\r\n", fields,
+                "Fulmarpitch-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
+}
+
+std::string id_line(const std::string& id) {
+  return concat("Fulmarpitch-Attempt-Id: ", id, "\r\n");
+}
+
+/// Refuses the first request of a target. Writes the refusal once more when it
+/// runs the next one, in front of the answer.
+scripted_target::script repeating(std::string status, std::string fields) {
+  return [status, fields,
+          n = std::make_shared<int>(0)](const std::string& head) {
+    auto again = refusal(status, fields);
+    if ((*n)++ == 0)
+      return scripted_answer{.bytes = refusal(status, id_line(id_of(head)))};
+    return scripted_answer{.bytes = again + whole(head).bytes};
+  };
+}
+
+std::size_t runs_of(const fixture& it, const std::string& id) {
+  auto out = std::size_t{0};
+  for (const auto& target : it.targets) {
+    for (const auto& head : target.heads) {
+      if (id_of(head) == id) ++out;
+    }
+  }
+  return out;
+}
+
+bool promises_not_run(int status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+}  // namespace
+
+TEST_CASE("an earlier refusal that is repeated does not refuse the next one") {
+  const auto* status = GENERATE("503 Busy", "429 Busy", "421 Other");
+  const auto* fields =
+      GENERATE("", "Fulmarpitch-Attempt-Id: a1\r\n",
+               "Fulmarpitch-Attempt-Id: \r\n", "Server-Leaving: 0\r\n");
+  const auto* path = GENERATE("/once/1", "/again/1", "/slow/1");
+  CAPTURE(status, fields, path);
+  auto& it = make_fixture();
+  it.add_target(repeating(status, fields));
+  it.start();
+  auto first = it.post(path, "a1");
+  REQUIRE(first.ok());
+  CHECK(first->status == 503);
+  it.list_target(1, 7);
+  it.run_for(800ms);
+  auto second = it.post(path, "a2");
+  if (second.ok()) CHECK_FALSE(promises_not_run(second->status));
+  if (second.ok() && second->status == 200) CHECK(second->body == whole_text());
+  if (std::string(path) == "/once/1") CHECK(runs_of(it, "a2") == 1);
+}
