Retry a refused item on a connection that has not refused it

A batch item keeps its id when it is retried, also at the target that refused it. A faulty target that wrote the refusal once more on the same connection made the daemon believe that the item had been refused again while the target ran it, and start it elsewhere: two runs of one item at the same time.

A connection now remembers the requests that were refused on it and is not used for a retry of one of them; after 32 refusals it is closed. Online requests are not affected, as they go to a target once or carry a new id.

Evidence: kept-connection-test saw two runs of the item before, and sees one now.

--- a/include/fulmarpitch/net/http-link.h
+++ b/include/fulmarpitch/net/http-link.h
@@ -88,6 +88,13 @@
   ///     that an earlier answer may come once more.
   bool was_used_before() const { return exchanges_ > 1; }
 
+  /// Records that the other side refused a request. A faulty one may repeat the
+  /// refusal later, when it would be taken for the answer to a retry.
+  void note_refusal(std::string_view request_id);
+
+  /// \return whether a request with this id was refused on the connection.
+  bool has_refused(std::string_view request_id) const;
+
   /// Sets the moment at which the link is closed; nothing for no bound.
   void expire_at(std::optional<instant> when) { deadline_ = when; }
 
@@ -96,8 +103,8 @@
   void close();
   bool is_open() const { return socket_.is_open(); }
 
-  /// \return whether the answer was read to its end and the other side keeps
-  ///     the connection.
+  /// \return whether the answer was read to its end, the other side keeps the
+  ///     connection, and the list of refused requests is not full.
   bool reusable() const;
 
   /// \return whether an idle connection is open and has no bytes waiting,
@@ -124,6 +131,9 @@
   static constexpr std::size_t max_input_bytes =
       std::size_t{2} * max_head_bytes;
 
+  /// Refused requests that are remembered before the connection is closed.
+  static constexpr std::size_t max_refusals = 32;
+
   tcp::socket socket_;
   std::shared_ptr<link_table> table_;
   std::string address_;
@@ -132,6 +142,7 @@
   std::array<char, piece_bytes> piece_{};
   std::optional<instant> deadline_;
   std::optional<instant> idle_limit_;
+  std::vector<std::string> refused_;
   std::uint32_t exchanges_ = 0;
   bool expired_ = false;
   bool sending_ = false;
--- a/src/net/http-link.cc
+++ b/src/net/http-link.cc
@@ -5,6 +5,7 @@
 #include <absl/strings/numbers.h>
 #include <netinet/tcp.h>
 
+#include <algorithm>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 #include <limits>
@@ -152,7 +153,16 @@
 
 bool http_link::reusable() const {
   return socket_.is_open() && parser_ && parser_->is_done() &&
-         parser_->keep_alive();
+         parser_->keep_alive() && refused_.size() < max_refusals;
+}
+
+void http_link::note_refusal(std::string_view request_id) {
+  refused_.emplace_back(request_id);
+}
+
+bool http_link::has_refused(std::string_view request_id) const {
+  return std::find(refused_.begin(), refused_.end(), request_id) !=
+         refused_.end();
 }
 
 bool http_link::is_quiet() {
--- a/src/serving/attempt.cc
+++ b/src/serving/attempt.cc
@@ -51,6 +51,15 @@
   return {.outcome = attempt_outcome::answered, .head = std::move(head)};
 }
 
+/// Takes a link to a target on which it has not refused the request before.
+link_ptr take_link(front& in, const target& to, const target_request& request) {
+  for (;;) {
+    auto out = in.target_links.take(to.address);
+    if (!out->has_refused(request.id)) return out;
+    out->close();
+  }
+}
+
 /// Reads response heads until one carries the request's id, skipping responses
 /// to other requests. A response without an id is the request's own only on a
 /// connection that carried no earlier request.
@@ -116,7 +125,7 @@
 task<attempt_result> begin_attempt(front& in, const target& to,
                                    const target_request& request,
                                    live_attempt& entry) {
-  auto link = in.target_links.take(to.address);
+  auto link = take_link(in, to, request);
   entry.link = link;
   auto now = event_loop::steady();
   auto deadline = request.deadline;
@@ -164,6 +173,7 @@
     if (auto* row = find_target(in.targets, to.id)) row->seen.replaced = true;
     in.log.add("target_replaced", {{"target", to.id}, {"address", to.address}});
   }
+  link->note_refusal(request.id);
   auto rest = co_await link->read_rest(max_stray_bytes);
   if (rest.ok()) in.target_links.give_back(link);
   co_return failed_attempt(attempt_outcome::not_run,
--- a/test/kept-connection-test.cc
+++ b/test/kept-connection-test.cc
@@ -1,7 +1,10 @@
 // End-to-end tests over loopback of targets that repeat an earlier refusal on a
 // kept connection, or that refuse without saying that the request did not run.
 
+#include <absl/strings/escaping.h>
+
 #include <catch2/catch.hpp>
+#include <map>
 
 #include "serving-fixture.h"
 
@@ -67,3 +70,34 @@
   if (second.ok() && second->status == 200) CHECK(second->body == whole_text());
   if (std::string(path) == "/once/1") CHECK(runs_of(it, "a2") == 1);
 }
+
+TEST_CASE("a repeated refusal of an item does not end its next run") {
+  // The item comes again with its id, maybe on the connection of the refusal.
+  auto refusals = std::map<int, std::string>();
+  auto runs = 0;
+  auto& it = make_fixture();
+  auto* target = &it.add_target({});
+  target->answer = [&](const std::string& head) {
+    if (refusals.empty()) {
+      auto text = refusal("503 Busy", id_line(id_of(head)));
+      refusals[target->connection] = text;
+      return scripted_answer{.bytes = text};
+    }
+    ++runs;
+    return scripted_answer{.bytes = refusals[target->connection] +
+                                    whole(head).bytes};
+  };
+  it.start();
+  auto job = concat(
+      R"({"requests":[{"id":"i1","path":"/jobs/1/i1","headers":{},"body":")",
+      absl::Base64Escape("p"), R"(","tokens":10}]})");
+  REQUIRE(it.post("/jobs/1", "j1", job)->status == 202);
+  auto results = std::string();
+  it.until([&] {
+    auto answer = it.get("/v1/lots/j1?after=0");
+    if (answer.ok()) results = answer->body;
+    return results.find("done") != std::string::npos;
+  });
+  CHECK(results.find(R"("output":"d1\nd2\nd3\nd4")") != std::string::npos);
+  CHECK(runs == 1);
+}
