--- a/src/soak/soak-run.cc
+++ b/src/soak/soak-run.cc
@@ -47,6 +47,14 @@
 /// Paths of requests that crash each target which runs them.
 constexpr auto crashing_paths = std::array{"/again/crash-1", "/once/crash-2"};
 
+/// Key in the ledger of the requests that share a part which crashes each
+/// target; their paths are all different and contain it.
+constexpr auto crashing_part = "/part-";
+
+/// The first part of all prompts, and the one that crashes targets.
+constexpr auto first_part = "f1:20";
+constexpr auto bad_part = "bad:30";
+
 /// In the answer to a request that is held back.
 constexpr auto held_reason = std::string_view("targets ended");
 
@@ -170,9 +178,12 @@
   put_target(it, row);
 }
 
-bool is_crashing(const std::string& path) {
-  return std::find(crashing_paths.begin(), crashing_paths.end(), path) !=
-         crashing_paths.end();
+/// \return the key in the ledger of a request that crashes targets; empty for a
+///     sound one.
+std::string crashing_key(const std::string& path) {
+  if (path.find(crashing_part) != std::string::npos) return crashing_part;
+  auto found = std::find(crashing_paths.begin(), crashing_paths.end(), path);
+  return found == crashing_paths.end() ? std::string() : path;
 }
 
 void add_target(run_state& it) {
@@ -191,8 +202,9 @@
           note(it.report.seen, promise::leaving_gets_nothing,
                concat(at->id, " got request ", request));
         }
-        if (!is_crashing(path)) return;
-        ++it.report.seen.crashes[path];
+        auto key = crashing_key(path);
+        if (key.empty()) return;
+        ++it.report.seen.crashes[key];
         asio::co_spawn(io_of(it.loop), crash_target(it, *at), asio::detached);
       });
   row.proxy = std::make_unique<fault_proxy>(it.loop, row.server->address());
@@ -245,8 +257,15 @@
   std::string path;
   std::string id;
   std::string body;
+  /// Parts of the prompt; none for a call without a prompt.
+  std::string parts;
 };
 
+/// \return the parts of a sound request's prompt.
+std::string sound_parts(run_state& it, const std::string& id) {
+  return concat(first_part, ",", hex(it.draw(100)), ":30,", id, ":5");
+}
+
 task<call_result> call(run_state& it, const daemon_row& to,
                        outgoing_call request) {
   auto out = call_result();
@@ -260,6 +279,7 @@
   auto head =
       concat(request.method, " ", request.path, " HTTP/1.1\r\nHost: h\r\n",
              platform::header::request_id, ": ", request.id, "\r\n",
+             platform::header::prompt_parts, ": ", request.parts, "\r\n",
              platform::header::time_left,
              ": 4000\r\nContent-Length: ", request.body.size(), "\r\n\r\n");
   auto sent = co_await link->send(head, request.body);
@@ -307,8 +327,10 @@
     auto stopping = to.stopping;
     auto path = concat(once ? "/once/" : "/again/", id);
     if (!once && it.draw(4) == 0) path = popular_path;
-    auto request =
-        outgoing_call{.path = std::move(path), .id = id, .body = "p"};
+    auto request = outgoing_call{.path = std::move(path),
+                                 .id = id,
+                                 .body = "p",
+                                 .parts = sound_parts(it, id)};
     auto got = co_await call(it, to, std::move(request));
     auto& seen = it.report.seen;
     if (got.complete && got.status == 200) {
@@ -330,10 +352,17 @@
   }
 }
 
+/// Sends a request that crashes targets.
+/// \param key its key in the ledger.
 /// \return whether the daemon held the request back.
-task<bool> send_crashing(run_state& it, const char* path, daemon_row& to) {
+task<bool> send_crashing(run_state& it, const char* key, daemon_row& to) {
   auto id = it.draw_id();
-  auto request = outgoing_call{.path = path, .id = id, .body = "p"};
+  auto request = outgoing_call{.path = key, .id = id, .body = "p"};
+  if (key == std::string_view(crashing_part)) {
+    auto route = it.draw(2) == 0 ? "/once" : "/again";
+    request.path = concat(route, crashing_part, id);
+    request.parts = concat(first_part, ",", bad_part, ",", id, ":5");
+  }
   auto got = co_await call(it, to, std::move(request));
   if (is_refusal(got)) note_not_run(it.report.seen, id);
   co_return is_refusal(got) && got.body.find(held_reason) != std::string::npos;
@@ -343,8 +372,10 @@
 task<void> call_crashing(run_state& it) {
   auto mark = busy_mark(it);
   while (!it.callers_stop) {
-    const auto* path = crashing_paths[it.draw(crashing_paths.size())];
-    co_await send_crashing(it, path, any_daemon(it));
+    auto n = it.draw(crashing_paths.size() + 1);
+    const auto* key =
+        n < crashing_paths.size() ? crashing_paths[n] : crashing_part;
+    co_await send_crashing(it, key, any_daemon(it));
     co_await pause_for(it.draw_time(50, 600));
   }
 }
@@ -392,7 +423,10 @@
   auto until = event_loop::steady() + it.options.recovery;
   while (event_loop::steady() < until) {
     auto id = it.draw_id();
-    auto request = outgoing_call{.path = popular_path, .id = id, .body = "p"};
+    auto request = outgoing_call{.path = popular_path,
+                                 .id = id,
+                                 .body = "p",
+                                 .parts = sound_parts(it, id)};
     auto got = co_await call(it, any_daemon(it), std::move(request));
     if (got.complete && got.body == whole_stream(id, events_per_request))
       co_return;
@@ -731,6 +765,7 @@
     co_await wait_for_touch(it);
     for (const auto* path : crashing_paths)
       co_await check_held(it, path);
+    co_await check_held(it, crashing_part);
   }
   it.loop.stop();
 }
