Read the count of ends before recording parts may evict it

Found while reading; no run shows it.

The events of the crash records carry a key, of a content or of a part: the field is named so now.

--- a/include/fulmarpitch/serving/crash-book.h
+++ b/include/fulmarpitch/serving/crash-book.h
@@ -40,9 +40,9 @@
 
 /// What a request has that may crash targets, as keys of the crash records.
 struct crash_causes {
-  /// Key of the whole content.
+  /// `content_key` of the request.
   std::uint64_t content = 0;
-  /// Keys of the prompt's parts that other requests may share.
+  /// `part_key` of each part of the prompt that other requests may share.
   std::vector<std::uint64_t> parts;
 };
 
@@ -67,8 +67,8 @@
 
 /// One fact about a content or a part. A fact recorded twice counts once.
 struct crash_event {
-  /// Key of the content or of the part.
-  std::uint64_t content = 0;
+  /// `content_key` of the content or `part_key` of the part.
+  std::uint64_t key = 0;
   crash_event_kind kind = crash_event_kind::end;
   /// Identifies an end, or is the zero-based trial index.
   std::uint64_t number = 0;
@@ -87,9 +87,9 @@
 struct crash_options {
   /// Number of ends from which on a content or a part is held.
   std::size_t hold_threshold = 3;
-  /// Delays before the trial runs that a held content is granted, as the
-  /// crashes may have had another cause. No further trials are granted after
-  /// these.
+  /// Delays before the trial runs that a held content or part is granted, as
+  /// the crashes may have had another cause. No further trials are granted
+  /// after these, unless the part is answered.
   std::array<instant, 2> trial_delays{std::chrono::seconds(2),
                                       std::chrono::seconds(30)};
   /// Retention of a content that is not held, after its last event.
@@ -99,7 +99,8 @@
   /// Maximum number of records; a new one evicts the oldest.
   std::size_t max_records = 4096;
   /// A part that was answered within this time is not recorded when a target
-  /// ends: the end has another cause, or the next answers are missing soon.
+  /// ends. If it crashes targets from now on, it is recorded once its answers
+  /// have been missing for this long.
   instant recent_answer_time = std::chrono::seconds(2);
   /// Maximum number of parts whose last answers are remembered.
   std::size_t max_answered_parts = 8192;
--- a/src/serving/crash-book.cc
+++ b/src/serving/crash-book.cc
@@ -67,9 +67,6 @@
   return static_cast<std::size_t>(n) >= registry.options.hold_threshold;
 }
 
-/// Adds a record if there is none.
-crash_record& find_or_add(crash_registry& registry, std::uint64_t key);
-
 bool has_expired(const crash_registry& registry, const crash_record& it,
                  instant now) {
   auto kept = is_held(registry, it) ? registry.options.held_retention
@@ -90,6 +87,7 @@
   registry.records.erase(oldest);
 }
 
+/// Finds the record of a content or part; adds one if there is none.
 crash_record& find_or_add(crash_registry& registry, std::uint64_t key) {
   if (!registry.records.contains(key)) evict_if_full(registry);
   auto [it, added] = registry.records.try_emplace(key);
@@ -114,35 +112,31 @@
 }
 
 /// \return the store keys of all recorded events of a content or part.
-std::vector<std::string> event_keys(std::uint64_t content,
-                                    const crash_record& it) {
+std::vector<std::string> event_keys(std::uint64_t key, const crash_record& it) {
   auto out = std::vector<std::string>();
   for (const auto& [number, at] : it.ends)
-    out.push_back(crash_key({.content = content, .number = number}));
+    out.push_back(crash_key({.key = key, .number = number}));
   for (auto number = std::uint32_t{0}; number < it.trials; ++number) {
-    out.push_back(crash_key({.content = content,
-                             .kind = crash_event_kind::trial,
-                             .number = number}));
+    out.push_back(crash_key(
+        {.key = key, .kind = crash_event_kind::trial, .number = number}));
   }
   if (it.sound) {
-    out.push_back(
-        crash_key({.content = content, .kind = crash_event_kind::sound}));
+    out.push_back(crash_key({.key = key, .kind = crash_event_kind::sound}));
   }
   if (it.answered) {
-    out.push_back(
-        crash_key({.content = content, .kind = crash_event_kind::answer}));
+    out.push_back(crash_key({.key = key, .kind = crash_event_kind::answer}));
   }
   return out;
 }
 
 /// Removes the ends that no longer count and are older than the retention.
 /// \return their store keys.
-std::vector<std::string> expire_ends(std::uint64_t content, crash_record& it,
+std::vector<std::string> expire_ends(std::uint64_t key, crash_record& it,
                                      instant retention, instant now) {
   auto out = std::vector<std::string>();
   absl::erase_if(it.ends, [&](const auto& end) {
     if (counts(it, end.second) || now - end.second <= retention) return false;
-    out.push_back(crash_key({.content = content, .number = end.first}));
+    out.push_back(crash_key({.key = key, .number = end.first}));
     return true;
   });
   return out;
@@ -172,22 +166,22 @@
 }
 
 std::string crash_key(const crash_event& it) {
-  return concat(hex(it.content), ".", name_in(crash_event_kind_names, it.kind),
-                ".", hex(it.number));
+  return concat(hex(it.key), ".", name_in(crash_event_kind_names, it.kind), ".",
+                hex(it.number));
 }
 
 std::optional<crash_event> parse_crash_key(std::string_view key) {
   auto out = crash_event();
   auto content = split_field(key);
   auto kind = value_in(crash_event_kind_names, split_field(key));
-  if (!kind || !parse_hex(content, out.content) || !parse_hex(key, out.number))
+  if (!kind || !parse_hex(content, out.key) || !parse_hex(key, out.number))
     return std::nullopt;
   out.kind = *kind;
   return out;
 }
 
 void note_event(crash_registry& registry, const crash_event& it) {
-  auto& record = find_or_add(registry, it.content);
+  auto& record = find_or_add(registry, it.key);
   record.last = std::max(record.last, it.at);
   switch (it.kind) {
     case crash_event_kind::end: {
@@ -262,10 +256,10 @@
   auto out = std::vector<std::string>();
   auto retention = registry.options.retention;
   absl::erase_if(registry.records, [&](auto& row) {
-    auto& [content, it] = row;
+    auto& [key, it] = row;
     auto expired = has_expired(registry, it, now);
-    auto keys = expired ? event_keys(content, it)
-                        : expire_ends(content, it, retention, now);
+    auto keys =
+        expired ? event_keys(key, it) : expire_ends(key, it, retention, now);
     std::move(keys.begin(), keys.end(), std::back_inserter(out));
     return expired;
   });
--- a/src/serving/crash-system.cc
+++ b/src/serving/crash-system.cc
@@ -115,7 +115,7 @@
   auto taken = known && result->committed;
   // Without a reply it is unknown whether the write was committed.
   if (known) note_event(in.crashes, trial);
-  in.log.add("trial", {{"content", hex(trial.content)},
+  in.log.add("trial", {{"content", hex(trial.key)},
                        {"number", trial.number},
                        {"store_answered", known},
                        {"taken", taken}});
@@ -125,7 +125,7 @@
 /// Grants a trial of a part without the store.
 void grant_trial(front& in, const crash_event& trial) {
   record_and_queue(in, trial);
-  in.log.add("trial", {{"content", hex(trial.content)},
+  in.log.add("trial", {{"content", hex(trial.key)},
                        {"number", trial.number},
                        {"store_answered", false},
                        {"taken", true}});
@@ -156,33 +156,29 @@
 
 void note_target_end(front& in, const crash_causes& causes,
                      std::string_view request, const target& to) {
-  auto content = causes.content;
-  auto sound = is_sound(in.crashes, content);
-  if (!sound) {
-    record_and_queue(in, {.content = content,
-                          .number = end_number(request, to),
-                          .at = event_loop::steady()});
-  }
-  auto parts = parts_to_record(in.crashes, causes.parts, event_loop::steady());
-  for (auto part : parts) {
-    record_and_queue(in, {.content = part,
-                          .number = end_number(request, to),
-                          .at = event_loop::steady()});
-  }
-  const auto& it = in.crashes.records.at(content);
+  auto now = event_loop::steady();
+  auto end = end_number(request, to);
+  auto sound = is_sound(in.crashes, causes.content);
+  if (!sound)
+    record_and_queue(in, {.key = causes.content, .number = end, .at = now});
+  // Recording the parts may evict this record.
+  auto ends = in.crashes.records.at(causes.content).ends.size();
+  auto parts = parts_to_record(in.crashes, causes.parts, now);
+  for (auto part : parts)
+    record_and_queue(in, {.key = part, .number = end, .at = now});
   in.log.add("target_ended", {{"request_id", request},
-                              {"content", hex(content)},
+                              {"content", hex(causes.content)},
                               {"parts", format_keys(causes.parts)},
                               {"parts_recorded", format_keys(parts)},
                               {"target", to.id},
-                              {"ends", std::uint64_t{it.ends.size()}},
+                              {"ends", std::uint64_t{ends}},
                               {"sound", sound}});
 }
 
 void note_answer(front& in, std::uint64_t content) {
   if (!in.crashes.records.contains(content) || is_sound(in.crashes, content))
     return;
-  record_and_queue(in, {.content = content,
+  record_and_queue(in, {.key = content,
                         .kind = crash_event_kind::sound,
                         .at = event_loop::steady()});
   in.log.add("content_sound", {{"content", hex(content)}});
@@ -193,7 +189,7 @@
   for (auto part : parts) {
     if (!note_part_answer(in.crashes, part, now)) continue;
     record_and_queue(
-        in, {.content = part, .kind = crash_event_kind::answer, .at = now});
+        in, {.key = part, .kind = crash_event_kind::answer, .at = now});
     in.log.add("part_answered", {{"part", hex(part)}});
   }
 }
@@ -216,7 +212,7 @@
                                       : options.max_trials;
     ensure(permit.trial < most, invariant::limit_holds,
            "a content or a part has more trials than allowed");
-    trials.push_back({.content = key,
+    trials.push_back({.key = key,
                       .kind = crash_event_kind::trial,
                       .number = permit.trial,
                       .at = now});
@@ -224,7 +220,7 @@
   for (const auto& it : trials) {
     auto taken = false;
     // Without the store nobody else can clear a part that was only unlucky.
-    if (it.content != causes.content && store_lost(in)) {
+    if (it.key != causes.content && store_lost(in)) {
       grant_trial(in, it);
       taken = true;
     } else {
@@ -234,7 +230,7 @@
     auto permit =
         run_permit{.what = run_permit::kind::held,
                    .retry_after = in.crashes.options.trial_delays.front()};
-    log_held(in, it.content, request, permit);
+    log_held(in, it.key, request, permit);
     co_return permit;
   }
   co_return run_permit{.what = trials.empty() ? run_permit::kind::free
--- a/test/crash-book-test.cc
+++ b/test/crash-book-test.cc
@@ -21,7 +21,7 @@
 constexpr std::uint64_t content = 7;
 
 void end_target(crash_registry& registry, std::uint64_t number, instant at) {
-  note_event(registry, {.content = content, .number = number, .at = at});
+  note_event(registry, {.key = content, .number = number, .at = at});
 }
 
 void end_three_targets(crash_registry& registry, instant at) {
@@ -62,7 +62,7 @@
     auto permit = decide_run(registry, content, now);
     if (permit.what != run_permit::kind::trial) continue;
     CHECK(permit.trial == trials);
-    note_event(registry, {.content = content,
+    note_event(registry, {.key = content,
                           .kind = crash_event_kind::trial,
                           .number = trials++,
                           .at = now});
@@ -80,7 +80,7 @@
   end_three_targets(registry, 10s);
   CHECK_FALSE(is_sound(registry, content));
   note_event(registry,
-             {.content = content, .kind = crash_event_kind::sound, .at = 12s});
+             {.key = content, .kind = crash_event_kind::sound, .at = 12s});
   CHECK(is_sound(registry, content));
   for (auto n = std::uint64_t{10}; n < 20; ++n)
     end_target(registry, n, 13s);
@@ -90,10 +90,10 @@
 TEST_CASE("records expire, those of held contents last") {
   auto registry = crash_registry();
   end_three_targets(registry, 10s);
-  note_event(registry, {.content = 8, .number = 1, .at = 10s});
+  note_event(registry, {.key = 8, .number = 1, .at = 10s});
   auto later = 10s + registry.options.retention + 1s;
   CHECK(expire_records(registry, later) ==
-        std::vector{crash_key({.content = 8, .number = 1})});
+        std::vector{crash_key({.key = 8, .number = 1})});
   CHECK(verdict(registry, later) != run_permit::kind::free);
   auto keys =
       expire_records(registry, 10s + registry.options.held_retention + 1s);
@@ -104,9 +104,9 @@
 TEST_CASE("a full book evicts the oldest content that is not held") {
   auto registry = crash_registry{.options = {.max_records = 3}};
   end_three_targets(registry, 1s);
-  note_event(registry, {.content = 8, .number = 1, .at = 2s});
-  note_event(registry, {.content = 9, .number = 1, .at = 3s});
-  note_event(registry, {.content = 10, .number = 1, .at = 4s});
+  note_event(registry, {.key = 8, .number = 1, .at = 2s});
+  note_event(registry, {.key = 9, .number = 1, .at = 3s});
+  note_event(registry, {.key = 10, .number = 1, .at = 4s});
   CHECK(registry.records.size() == 3);
   CHECK(registry.records.contains(content));
   CHECK_FALSE(registry.records.contains(8));
@@ -115,10 +115,10 @@
 TEST_CASE("a row key round-trips its event") {
   auto kind = GENERATE(crash_event_kind::end, crash_event_kind::trial,
                        crash_event_kind::sound, crash_event_kind::answer);
-  auto event = crash_event{.content = 77, .kind = kind, .number = 5};
+  auto event = crash_event{.key = 77, .kind = kind, .number = 5};
   auto read = parse_crash_key(crash_key(event));
   REQUIRE(read);
-  CHECK(read->content == 77);
+  CHECK(read->key == 77);
   CHECK(read->kind == kind);
   CHECK(read->number == 5);
 }
@@ -133,7 +133,7 @@
 
 TEST_CASE("a trial number from the store is clamped") {
   auto registry = crash_registry();
-  note_event(registry, {.content = content,
+  note_event(registry, {.key = content,
                         .kind = crash_event_kind::trial,
                         .number = std::numeric_limits<std::uint64_t>::max(),
                         .at = 1s});
@@ -145,11 +145,11 @@
 
 void answer_part(crash_registry& registry, instant at) {
   note_event(registry,
-             {.content = content, .kind = crash_event_kind::answer, .at = at});
+             {.key = content, .kind = crash_event_kind::answer, .at = at});
 }
 
 void grant_trial(crash_registry& registry, std::uint32_t number, instant at) {
-  note_event(registry, {.content = content,
+  note_event(registry, {.key = content,
                         .kind = crash_event_kind::trial,
                         .number = number,
                         .at = at});
@@ -254,7 +254,7 @@
   end_three_targets(registry, 12s);
   CHECK(verdict(registry, 12s) == run_permit::kind::held);
   for (auto n = std::uint64_t{1}; n <= 3; ++n)
-    note_event(registry, {.content = bad_part, .number = n, .at = 12s});
+    note_event(registry, {.key = bad_part, .number = n, .at = 12s});
   CHECK(verdict(registry, 12s) == run_permit::kind::free);
   CHECK(decide_run(registry, bad_part, 12s).what == run_permit::kind::held);
   for (auto n = std::uint64_t{11}; n <= 13; ++n)
@@ -267,7 +267,7 @@
   auto registry = crash_registry();
   end_three_targets(registry, 12s);
   for (auto n = std::uint64_t{1}; n <= 3; ++n)
-    note_event(registry, {.content = other_part, .number = n, .at = 12s});
+    note_event(registry, {.key = other_part, .number = n, .at = 12s});
   CHECK(verdict(registry, 12s) == run_permit::kind::held);
   CHECK(decide_run(registry, other_part, 12s).what == run_permit::kind::held);
 }
--- a/test/crash-part-play-test.cc
+++ b/test/crash-part-play-test.cc
@@ -128,7 +128,7 @@
     for (const auto& run : it.runs) {
       auto& registry = daemons[run.daemon];
       for (auto part : parts_to_record(registry, run.parts, now))
-        share(run.daemon, {.content = part, .number = end, .at = now});
+        share(run.daemon, {.key = part, .number = end, .at = now});
     }
     it.runs.clear();
   }
@@ -140,7 +140,7 @@
       auto permit = decide_run(daemons[daemon], part, now);
       if (permit.what == run_permit::kind::held) return false;
       if (permit.what != run_permit::kind::trial) continue;
-      trials.push_back({.content = part,
+      trials.push_back({.key = part,
                         .kind = crash_event_kind::trial,
                         .number = permit.trial,
                         .at = now});
@@ -189,9 +189,8 @@
         if (it.ends > now) continue;
         for (auto part : it.parts) {
           if (note_part_answer(daemons[it.daemon], part, now))
-            share(
-                it.daemon,
-                {.content = part, .kind = crash_event_kind::answer, .at = now});
+            share(it.daemon,
+                  {.key = part, .kind = crash_event_kind::answer, .at = now});
         }
       }
       std::erase_if(runs, [&](const auto& it) { return it.ends <= now; });
