--- a/src/serving/online.cc
+++ b/src/serving/online.cc
@@ -262,10 +262,10 @@
 void note_broken_stream(front& in, online_request& it,
                         const live_attempt& entry, stream_end end,
                         const absl::Status& status) {
+  if (entry.stopped) return;
   log_broken_stream(in, it.id, it.to.id, end, it.last_event);
   auto late = code_of(status) == error_code::deadline_exceeded;
-  if (!entry.stopped && !late)
-    record_target_failure(in, it.to.id, target_fault::broke_off);
+  if (!late) record_target_failure(in, it.to.id, target_fault::broke_off);
   auto faulty = end == stream_end::endless || end == stream_end::other_type;
   auto lost = !faulty && is_target_lost(entry, status);
   if (lost) note_target_end(in, causes_of(it), it.id, it.to);
