--- a/test/broken-off-stream-test.cc
+++ b/test/broken-off-stream-test.cc
@@ -43,9 +43,9 @@
 }
 
 /// Breaks off the first `breaks` streams behind `body`; the others are whole.
-scripted_target::script breaking(framing how, std::string body,
-                                 std::shared_ptr<int> breaks) {
-  return [=](const std::string& head) {
+scripted_target::script breaking(framing how, const std::string& body,
+                                 const std::shared_ptr<int>& breaks) {
+  return [how, body, breaks](const std::string& head) {
     auto broken = (*breaks)-- > 0;
     return framed(head, how, broken ? body : rest_of_stream(head));
   };
--- a/test/crash-part-play-test.cc
+++ b/test/crash-part-play-test.cc
@@ -156,7 +156,7 @@
     return true;
   }
 
-  void arrive(std::vector<std::uint64_t> parts, bool bad) {
+  void arrive(const std::vector<std::uint64_t>& parts, bool bad) {
     auto daemon = pick(daemons.size());
     auto allowed = is_allowed(daemon, parts);
     if (!allowed && !bad) result.held.push_back(now);
@@ -212,7 +212,7 @@
       auto parts = std::vector<std::uint64_t>{first_part, rare};
       parts.insert(parts.begin() + static_cast<std::ptrdiff_t>(options.bad_at),
                    bad_part);
-      arrive(std::move(parts), true);
+      arrive(parts, true);
     }
     return std::move(result);
   }
@@ -304,14 +304,14 @@
 TEST_CASE("without sharing each daemon holds the part by itself") {
   auto seed = GENERATE(1U, 2U, 3U);
   CAPTURE(seed);
-  constexpr auto daemons = 4;
-  auto result = play({.options = {.daemons = daemons,
+  constexpr auto daemons = 4U;
+  auto result = play({.options = {.daemons = static_cast<int>(daemons),
                                   .away_from = 9s,
                                   .away_until = 30s,
                                   .seed = seed}})
                     .run_all();
   // Three ends and one trial at each daemon while it is by itself.
-  CHECK(runs_after(result, 0s) <= daemons * 5);
+  CHECK(runs_after(result, 0s) <= std::size_t{daemons} * 5);
   CHECK(runs_after(result, 30s + contact_time) <= most_later_runs);
   auto outside = begun_share(result, 0s, 9s);
   CHECK(begun_share(result, 18s, 30s) >= outside / 2);
--- a/test/kept-connection-test.cc
+++ b/test/kept-connection-test.cc
@@ -24,7 +24,8 @@
 
 /// Refuses the first request of a target. Writes the refusal once more when it
 /// runs the next one, in front of the answer.
-scripted_target::script repeating(std::string status, std::string fields) {
+scripted_target::script repeating(const std::string& status,
+                                  const std::string& fields) {
   return [status, fields,
           n = std::make_shared<int>(0)](const std::string& head) {
     auto again = refusal(status, fields);
