Answer a request whose handler ends without an answer

Cause: an exchange that was dropped, such as by an exception in the coroutine that served it, stayed open without an answer until its client gave up.

Change: the handler's handle answers 500 when its last copy goes, or breaks the answer off if it had begun, and logs the request.

Evidence: the new test timed out on the code before and holds now.

--- a/src/net/http-server.cc
+++ b/src/net/http-server.cc
@@ -1,3 +1,5 @@
+#include <glog/logging.h>
+
 #include <algorithm>
 #include <array>
 #include <boost/asio/awaitable.hpp>
@@ -32,6 +34,8 @@
 /// A client that lets more than this pile up is cut off.
 constexpr std::size_t max_unsent_bytes = std::size_t{16} * 1024 * 1024;
 
+constexpr int status_internal_error = 500;
+
 using head_parser = http::request_parser<http::empty_body>;
 using text_parser = http::request_parser<http::string_body>;
 using piece_parser = http::request_parser<http::buffer_body>;
@@ -98,6 +102,8 @@
   streams_body streams;
   std::unordered_set<class http_session*> sessions;
   bool checking = false;
+  /// The server is gone, and with it the loop that would send answers.
+  bool stopped = false;
 };
 
 /// Why a connection of a client ends.
@@ -199,6 +205,19 @@
 
   void close_after() override { keep_alive_ = false; }
 
+  /// Ends an exchange that nobody can answer any more, such as after an
+  /// unexpected error: the client gets an answer, or sees that it broke off.
+  void abandon() {
+    if (done_ || owner_->server_->stopped) return;
+    LOG(ERROR) << "no answer was given to " << request_.method << ' '
+               << request_.target;
+    if (streaming_) return abort();
+    keep_alive_ = false;
+    respond({.status = status_internal_error,
+             .headers = {{"Content-Type", "application/json"}},
+             .body = R"({"error":"internal error","outcome":"unknown"})"});
+  }
+
   std::size_t unsent_bytes() const override { return owner_->unsent_; }
 
   void on_closed(std::function<void()> work) override {
@@ -275,6 +294,13 @@
   std::unique_ptr<piece_parser> parser_;
 };
 
+/// \return an owner of the exchange that answers the request if it is dropped
+///     without an answer.
+std::shared_ptr<http_exchange> handle_of(
+    const std::shared_ptr<server_exchange>& it) {
+  return {it.get(), [it](http_exchange*) { it->abandon(); }};
+}
+
 http_session::http_session(tcp::socket socket,
                            std::shared_ptr<http_server::impl> server)
     : stream_(std::move(socket)),
@@ -375,7 +401,7 @@
                                                std::move(request), keep_alive);
   current_->set_parser(std::move(parser));
   if (!streamed) watch_for_close();
-  server_->take(current_);
+  server_->take(handle_of(current_));
   while (!current_->done() && !closed_) {
     ended_.expires_at(asio::steady_timer::time_point::max());
     co_await ended_.async_wait(token);
@@ -518,6 +544,7 @@
                                    std::move(streams))) {}
 
 http_server::~http_server() {
+  impl_->stopped = true;
   stop_accepting();
 }
 
--- a/test/http-test.cc
+++ b/test/http-test.cc
@@ -215,3 +215,13 @@
   REQUIRE(client.read_status() == "HTTP/1.1 200 OK");
   CHECK(client.read_status().empty());
 }
+
+TEST_CASE("a request that its handler drops is answered") {
+  auto it = fixture([](const auto& exchange) {
+    if (exchange->request().target == "/begun") exchange->start_stream({});
+  });
+  auto answer = it.call({.target = "/none"});
+  REQUIRE(answer.ok());
+  CHECK(answer->status == 500);
+  CHECK_FALSE(it.call({.target = "/begun"}).ok());
+}
