Read on for a moment before closing behind a refusal

Cause: a request that was refused before its body was read was followed by a close with unread bytes. That resets the connection, which may destroy the refusal on its way to the client.

Change: the sending half is closed and input discarded, for 1 s and 4 MB at most.

Evidence: the new test failed on the code before (the client's writes were reset and it read no 413) and holds now.

--- a/src/net/http-server.cc
+++ b/src/net/http-server.cc
@@ -34,6 +34,12 @@
 /// A client that lets more than this pile up is cut off.
 constexpr std::size_t max_unsent_bytes = std::size_t{16} * 1024 * 1024;
 
+/// How long, and how much, a refused client may go on sending before its
+/// connection is closed. Unread bytes would reset the connection, and the
+/// refusal would be lost with it.
+constexpr auto linger_timeout = std::chrono::seconds(1);
+constexpr std::size_t max_linger_bytes = std::size_t{4} * 1024 * 1024;
+
 constexpr int status_internal_error = 500;
 
 using head_parser = http::request_parser<http::empty_body>;
@@ -137,6 +143,7 @@
   asio::awaitable<void> run();
   asio::awaitable<bool> wait_for_request();
   asio::awaitable<bool> serve_one();
+  asio::awaitable<void> linger();
   asio::awaitable<void> send_all();
   void bound_input();
   void enqueue(std::string bytes);
@@ -155,6 +162,8 @@
   bool closed_ = false;
   /// A request's first byte was read, and its answer has not ended.
   bool busy_ = false;
+  /// A request was refused before it was read whole.
+  bool refused_ = false;
   instant write_began_{};
   /// When the wait for a request began, and the idle timeout at that time.
   instant idle_since_{};
@@ -325,9 +334,21 @@
     ended_.expires_after(std::chrono::milliseconds(10));
     co_await ended_.async_wait(asio::redirect_error(asio::use_awaitable, ec));
   }
+  if (refused_ && !closed_) co_await linger();
   close(connection_end::nothing_to_answer);
 }
 
+asio::awaitable<void> http_session::linger() {
+  auto ec = boost::system::error_code();
+  stream_.socket().shutdown(tcp::socket::shutdown_send, ec);
+  stream_.expires_after(linger_timeout);
+  auto input = std::string(piece_bytes, '\0');
+  for (auto total = std::size_t{0}; !ec && total < max_linger_bytes;) {
+    total += co_await stream_.async_read_some(
+        asio::buffer(input), asio::redirect_error(asio::use_awaitable, ec));
+  }
+}
+
 // Waits without reading: a request that was read by then would be lost if the
 // connection were closed as idle.
 asio::awaitable<bool> http_session::wait_for_request() {
@@ -478,6 +499,7 @@
                               .headers = {{"Content-Type", "application/json"}},
                               .body = std::move(body)};
   enqueue(head_text(answer, false, false) + answer.body);
+  refused_ = true;
 }
 
 void http_session::close(connection_end why) {
--- a/test/http-test.cc
+++ b/test/http-test.cc
@@ -225,3 +225,31 @@
   CHECK(answer->status == 500);
   CHECK_FALSE(it.call({.target = "/begun"}).ok());
 }
+
+TEST_CASE("a refusal reaches a client that goes on sending") {
+  auto it = fixture(echo);
+  auto client = kept_client(it.loop, it.server->port());
+  auto sent = false;
+  asio::co_spawn(
+      io_of(it.loop),
+      [](kept_client& to, bool& whole) -> task<void> {
+        constexpr auto pieces = 20;
+        const auto piece = std::string(10'000, 'x');
+        auto next = concat("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: ",
+                           pieces * piece.size(), "\r\n\r\n");
+        whole = true;
+        for (auto n = 0; n <= pieces; ++n, next = piece) {
+          auto [ec, size] = co_await asio::async_write(
+              to.socket, asio::buffer(next), as_result);
+          if (ec) whole = false;
+          co_await pause_for(std::chrono::milliseconds(5));
+        }
+        (void)co_await asio::async_read_until(
+            to.socket, asio::dynamic_buffer(to.input), "not_run", as_result);
+        to.loop.stop();
+      }(client, sent),
+      asio::detached);
+  it.loop.run();
+  CHECK(sent);
+  CHECK(client.input.starts_with("HTTP/1.1 413"));
+}
