Log what a coroutine throws, and end on a broken invariant

Cause: coroutines were started detached, which drops what they throw. A request's coroutine ended without an answer or a line in the log, and the invariants that the program asserts had no effect.

Change: their completion handler logs the exception and lets a broken invariant end the loop. One malformed message still ends no process.

--- a/include/fulmarpitch/net/coroutine.h
+++ b/include/fulmarpitch/net/coroutine.h
@@ -12,6 +12,7 @@
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <exception>
 
 #include "fulmarpitch/core/types.h"
 #include "fulmarpitch/net/event-loop.h"
@@ -31,6 +32,13 @@
 /// \return the Asio loop behind an event loop.
 asio::io_context& io_of(event_loop& loop);
 
+/// Completion handler of a coroutine that nothing waits for: logs an exception,
+/// and lets a broken invariant end the loop.
+struct failure_report {
+  void operator()(const std::exception_ptr& fault) const;
+};
+inline constexpr auto report_failure = failure_report();
+
 /// Suspends a coroutine.
 /// \param delay how long.
 inline task<void> pause_for(instant delay) {
--- a/src/net/http-server.cc
+++ b/src/net/http-server.cc
@@ -4,7 +4,6 @@
 #include <array>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -20,12 +19,11 @@
 #include "fulmarpitch/core/errors.h"
 #include "fulmarpitch/core/invariant.h"
 #include "fulmarpitch/core/text.h"
+#include "fulmarpitch/net/coroutine.h"
 #include "fulmarpitch/net/http.h"
 
-namespace asio = boost::asio;
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
-using asio::ip::tcp;
 
 namespace fulmar {
 namespace {
@@ -241,7 +239,7 @@
       return;
     }
     asio::co_spawn(owner_->stream_.get_executor(), read_piece(std::move(take)),
-                   asio::detached);
+                   report_failure);
   }
 
   void notify_closed() {
@@ -321,7 +319,7 @@
 void http_session::start() {
   asio::co_spawn(
       stream_.get_executor(),
-      [self = shared_from_this()] { return self->run(); }, asio::detached);
+      [self = shared_from_this()] { return self->run(); }, report_failure);
 }
 
 asio::awaitable<void> http_session::run() {
@@ -472,7 +470,7 @@
   sending_ = true;
   asio::co_spawn(
       stream_.get_executor(),
-      [self = shared_from_this()] { return self->send_all(); }, asio::detached);
+      [self = shared_from_this()] { return self->send_all(); }, report_failure);
 }
 
 asio::awaitable<void> http_session::send_all() {
@@ -576,7 +574,7 @@
   if (!status.ok()) return status;
   asio::co_spawn(
       impl_->loop.native().io, [server = impl_] { return accept_all(server); },
-      asio::detached);
+      report_failure);
   if (!impl_->checking) {
     impl_->checking = true;
     impl_->loop.every(check_period, [server = std::weak_ptr(impl_)] {
--- a/src/serving/crash-system.cc
+++ b/src/serving/crash-system.cc
@@ -256,7 +256,7 @@
   auto changes = std::vector(std::make_move_iterator(rows.pending.begin()),
                              std::make_move_iterator(end));
   rows.pending.erase(rows.pending.begin(), end);
-  asio::co_spawn(in.io, write_rows(in, std::move(changes)), asio::detached);
+  asio::co_spawn(in.io, write_rows(in, std::move(changes)), report_failure);
 }
 
 void forget_crashes(front& in, instant now) {
--- a/src/serving/daemon.cc
+++ b/src/serving/daemon.cc
@@ -102,7 +102,7 @@
 
 void start_periodic_work(front& in) {
   auto start = [&](task<void> work) {
-    asio::co_spawn(in.io, std::move(work), asio::detached);
+    asio::co_spawn(in.io, std::move(work), report_failure);
   };
   start(follow_configuration(in));
   start(follow_targets(in));
@@ -192,7 +192,7 @@
 void serving_daemon::shut_down(std::function<void()> done) {
   if (front_->leaving) return;
   asio::co_spawn(front_->io, shut_down_gracefully(*front_, std::move(done)),
-                 asio::detached);
+                 report_failure);
 }
 
 }  // namespace fulmar::serving
--- a/src/serving/job-submission.cc
+++ b/src/serving/job-submission.cc
@@ -295,7 +295,7 @@
     front& in, std::shared_ptr<local_submission> at) {
   auto here = can_accept(in, at->it.job.id);
   if (here) {
-    asio::co_spawn(in.io, accept_locally(in, at), asio::detached);
+    asio::co_spawn(in.io, accept_locally(in, at), report_failure);
     if (!at->how) co_await at->ended.wait(local_acceptance_timeout);
   } else {
     at->how = acceptance_outcome::not_run;
--- a/src/serving/job-system.cc
+++ b/src/serving/job-system.cc
@@ -238,7 +238,7 @@
                          .failures = item.progress.failures,
                          .withdrawal_count = item.withdrawal_count};
   asio::co_spawn(in.io, run_item(in, std::move(it), found.rows[*at]->listed),
-                 asio::detached);
+                 report_failure);
   return true;
 }
 
@@ -344,7 +344,7 @@
           if (!at.runs.contains(name)) co_await pause_for(adoption_retry_delay);
           at.loading_jobs.erase(name);
         }(in, job, mine),
-        asio::detached);
+        report_failure);
   }
 }
 
@@ -382,7 +382,7 @@
     if (in.loading_jobs.contains(id)) continue;
     if (rendezvous_owner(id, members) != in.settings.name) continue;
     in.loading_jobs.insert(id);
-    asio::co_spawn(in.io, remove_outdated(in, id), asio::detached);
+    asio::co_spawn(in.io, remove_outdated(in, id), report_failure);
   }
 }
 
--- a/src/serving/job-writes.cc
+++ b/src/serving/job-writes.cc
@@ -146,7 +146,7 @@
     if (run.listing || now < run.list_after) continue;
     if (!has_item(run, item_state::finished)) continue;
     run.listing = true;
-    asio::co_spawn(in.io, list_results(in, id, run.serial), asio::detached);
+    asio::co_spawn(in.io, list_results(in, id, run.serial), report_failure);
   }
 }
 
@@ -162,7 +162,7 @@
     if (!save) continue;
     run.saving = true;
     asio::co_spawn(in.io, save_progress(in, id, run.serial, std::move(*save)),
-                   asio::detached);
+                   report_failure);
   }
 }
 
@@ -173,7 +173,7 @@
     // The results of finished items have to be listed first, or they are lost.
     if (run.listing || has_item(run, item_state::finished)) continue;
     run.releasing = true;
-    asio::co_spawn(in.io, release_job(in, id, run.serial), asio::detached);
+    asio::co_spawn(in.io, release_job(in, id, run.serial), report_failure);
   }
 }
 
--- a/src/serving/reports.cc
+++ b/src/serving/reports.cc
@@ -39,9 +39,9 @@
         concat("reports on ", front_.settings.address, ":",
                front_.settings.first_peer_port, ": ", ec.message()));
   }
-  asio::co_spawn(front_.io, receive(), asio::detached);
-  asio::co_spawn(front_.io, send_on_change(), asio::detached);
-  asio::co_spawn(front_.io, send_on_time(), asio::detached);
+  asio::co_spawn(front_.io, receive(), report_failure);
+  asio::co_spawn(front_.io, send_on_change(), report_failure);
+  asio::co_spawn(front_.io, send_on_time(), report_failure);
   return absl::OkStatus();
 }
 
--- a/src/serving/requests.cc
+++ b/src/serving/requests.cc
@@ -27,7 +27,7 @@
   const auto& request = client->request();
   auto path = path_of(request.target);
   auto start = [&](task<void> work) {
-    asio::co_spawn(in.io, std::move(work), asio::detached);
+    asio::co_spawn(in.io, std::move(work), report_failure);
   };
   if (path.starts_with(platform::path::job_item) && request.method == "GET") {
     auto job = path.substr(platform::path::job_item.size());
@@ -75,7 +75,7 @@
   auto work = path->kind == route_kind::batch
                   ? submit_job(in, client, configuration, *path)
                   : serve_online(in, client, configuration, *path);
-  asio::co_spawn(in.io, std::move(work), asio::detached);
+  asio::co_spawn(in.io, std::move(work), report_failure);
 }
 
 /// Holds a request until the daemon has started, then routes it.
@@ -90,7 +90,7 @@
 void handle_request(front& in, const std::shared_ptr<http_exchange>& client) {
   if (in.leaving) client->close_after();
   if (has_started(in)) return route_request(in, client);
-  asio::co_spawn(in.io, route_after_start(in, client), asio::detached);
+  asio::co_spawn(in.io, route_after_start(in, client), report_failure);
 }
 
 }  // namespace fulmar::serving
