Keep a stream at the software version that began it

What callers saw: streams held events of targets of two software versions, in one answer or over a client's tries, with nothing in the answer to show it.

Cause: entries of targets were decoded without their version, and `Resumes` was not read. State that belongs to a stream was kept nowhere: a broken stream went on at any target, and so did items, also after a takeover.

Change: a stream's origin is its service and the version of the target that sent its first head; it is asserted before each further attempt. A daemon that is asked to go on with a stream looks into its memory, then for the stream's row in the store, and then for the only version that may have begun it. Unknown stays unknown: such a take-up is refused at once as not run, as is one whose version has no target left. Streams are recorded while several versions may have begun them, and for a while longer. Items keep their origin with their progress and begin anew if no target of it is left.

--- a/include/fulmarpitch/core/invariant.h
+++ b/include/fulmarpitch/core/invariant.h
@@ -25,9 +25,10 @@
   order_has_no_gap,
   limit_holds,
   one_engine_order,
+  one_version,
 };
 
-inline constexpr std::array<named<invariant>, 12> invariant_names{{
+inline constexpr std::array<named<invariant>, 13> invariant_names{{
     {invariant::one_result, "one_result"},
     {invariant::cancelled_stops, "cancelled_stops"},
     {invariant::online_first, "online_first"},
@@ -40,6 +41,7 @@
     {invariant::order_has_no_gap, "order_has_no_gap"},
     {invariant::limit_holds, "limit_holds"},
     {invariant::one_engine_order, "one_engine_order"},
+    {invariant::one_version, "one_version"},
 }};
 
 /// Thrown where an invariant is broken. Never caught below `main` or a test.
--- a/include/fulmarpitch/serving/job-run.h
+++ b/include/fulmarpitch/serving/job-run.h
@@ -35,6 +35,9 @@
   std::uint32_t withdrawal_count = 0;
   /// Earliest start of the next attempt.
   instant not_before{};
+  /// Since when no target has brought an event of the item; empty while one
+  /// does.
+  std::optional<instant> stalled_since;
 };
 
 /// Run-time state of a job.
@@ -108,6 +111,11 @@
   /// Upper bound of the backoff. Items must complete however often their
   /// targets failed, and targets recover within seconds.
   instant max_backoff = std::chrono::milliseconds(3200);
+  /// How long an item waits for a target of the version that began it while
+  /// others have room; its output is lost when it begins anew.
+  instant max_version_wait = std::chrono::milliseconds(3000);
+  /// Breaks without an event after which it no longer counts on its version.
+  std::uint32_t max_version_breaks = 3;
 };
 
 /// Identifies one item of the jobs that run here.
@@ -163,6 +171,13 @@
                  std::uint32_t attempts, instant now,
                  const item_retry_options& options = {});
 
+/// Drops an item's output, so that any version may run it from the start.
+void begin_anew(job_item& item);
+
+/// \return whether an item has waited long enough for its version.
+bool is_stalled(const job_item& item, instant now,
+                const item_retry_options& options = {});
+
 /// Marks all waiting items of a job as dead.
 void fail_waiting_items(job_run& run);
 
--- a/include/fulmarpitch/serving/jobs.h
+++ b/include/fulmarpitch/serving/jobs.h
@@ -19,6 +19,7 @@
 #include "fulmarpitch/core/types.h"
 #include "fulmarpitch/net/http.h"
 #include "fulmarpitch/serving/store.h"
+#include "fulmarpitch/serving/versions.h"
 
 namespace fulmar::serving {
 
@@ -113,6 +114,9 @@
   std::string output;
   /// Targets that failed to run the item.
   std::uint32_t failures = 0;
+  /// The software that produced the output; its service is empty if there is no
+  /// output.
+  stream_origin origin;
 };
 
 std::string encode_progress(const item_progress& it);
--- a/include/fulmarpitch/serving/late-queue.h
+++ b/include/fulmarpitch/serving/late-queue.h
@@ -46,6 +46,9 @@
 /// \return zero if no request was observed.
 instant time_limit(const observed_time_limit& limit);
 
+/// \return the longest time limit of any request; zero if none was observed.
+instant longest_time_limit(const observed_time_limit& limit);
+
 /// Bounds of holding a late request.
 struct late_options {
   /// Time that must be left after holding until the client gives up: a wait of
--- a/include/fulmarpitch/serving/routes.h
+++ b/include/fulmarpitch/serving/routes.h
@@ -37,6 +37,8 @@
 struct service_share {
   std::string service;
   std::uint32_t weight = 1;
+
+  bool operator==(const service_share&) const = default;
 };
 
 /// Rules for the requests of one host and path prefix.
@@ -114,6 +116,14 @@
 /// \return the service's name; empty when the weights sum to zero.
 std::string_view pick_service(const route& from, std::uint64_t key);
 
+/// \return whether a configuration sends requests that may be resumed to other
+///     services, or in other shares, than the one before.
+bool moves_resumable_routes(const served_configuration& before,
+                            const served_configuration& next);
+
+/// \return whether requests of a route may go to a service.
+bool leads_to(const route& from, std::string_view service);
+
 /// \return the service of this name, or null.
 const service* find_service(const served_configuration& in,
                             std::string_view name);
--- a/include/fulmarpitch/serving/targets.h
+++ b/include/fulmarpitch/serving/targets.h
@@ -23,6 +23,8 @@
   /// IP address and port.
   std::string address;
   std::string data_centre;
+  /// Version of its software; empty if the entry names none.
+  std::string version;
   std::uint32_t slots = 1;
   /// The target is draining: it finishes its requests and accepts no new ones.
   bool leaving = false;
--- a/src/serving/daemon.cc
+++ b/src/serving/daemon.cc
@@ -10,6 +10,7 @@
 #include "fulmarpitch/core/text.h"
 #include "platform/names.h"
 #include "reports.h"
+#include "version-system.h"
 
 namespace fulmar::serving {
 namespace {
@@ -109,6 +110,7 @@
   start(follow_jobs(in));
   start(follow_crashes(in));
   start(discover_members(in));
+  start(read_versions(in));
   in.loop.every(tick_period, [&in] {
     auto now = event_loop::steady();
     auto paused = now - in.last_tick > max_tick_delay;
@@ -125,6 +127,7 @@
     preempt_for_waiting_requests(in, now);
     run_jobs(in);
     write_crash_rows(in, now);
+    write_begun_streams(in, now);
     in.log.flush();
   });
   in.loop.every(cleanup_period, [&in] {
@@ -136,6 +139,9 @@
     remove_expired_targets(in);
     remove_outdated_jobs(in);
     forget_crashes(in, now);
+    observe_versions(in, now);
+    write_versions(in, now);
+    remove_begun_rows(in, now);
   });
 }
 
--- a/src/serving/discovery.cc
+++ b/src/serving/discovery.cc
@@ -18,6 +18,7 @@
 #include "platform/names.h"
 #include "reports.h"
 #include "table-follower.h"
+#include "version-system.h"
 
 namespace fulmar::serving {
 namespace {
@@ -70,6 +71,8 @@
     return;
   }
   if (next->version <= in.configuration->version) return;
+  if (moves_resumable_routes(*in.configuration, *next))
+    in.versions.routes_moved = event_loop::steady();
   auto before = in.configuration->version;
   in.configuration =
       std::make_shared<const served_configuration>(std::move(*next));
@@ -110,12 +113,14 @@
     return;
   }
   auto changed = known == nullptr || known->listed.leaving != target->leaving ||
-                 known->listed.address != target->address;
+                 known->listed.address != target->address ||
+                 known->listed.version != target->version;
   if (changed) {
     in.log.add("target_listed", {{"target", id},
                                  {"address", target->address},
                                  {"data_centre", target->data_centre},
                                  {"leaving", target->leaving},
+                                 {"software", target->version},
                                  {"version", row.version}});
   }
   list_target(in.targets, std::move(*target));
@@ -174,9 +179,13 @@
 }
 
 void apply_targets(front& in, const std::vector<stored_row>& rows, bool whole) {
-  if (whole) return apply_target_list(in, rows);
-  for (const auto& it : rows)
-    apply_target(in, it);
+  if (whole) {
+    apply_target_list(in, rows);
+  } else {
+    for (const auto& it : rows)
+      apply_target(in, it);
+  }
+  observe_versions(in, event_loop::steady());
 }
 
 /// Reads every part of the table of jobs.
--- a/src/serving/front.cc
+++ b/src/serving/front.cc
@@ -147,6 +147,16 @@
   return out;
 }
 
+void keep_version(service_targets& found, std::string_view version) {
+  auto kept = service_targets();
+  for (auto n = std::size_t{0}; n < found.rows.size(); ++n) {
+    if (found.rows[n]->listed.version != version) continue;
+    kept.candidates.push_back(found.candidates[n]);
+    kept.rows.push_back(found.rows[n]);
+  }
+  found = std::move(kept);
+}
+
 bool store_lost(const front& in) {
   return platform::store_is_away(in.store_counts, event_loop::steady());
 }
--- a/src/serving/front.h
+++ b/src/serving/front.h
@@ -19,6 +19,7 @@
 #include "fulmarpitch/net/coroutine.h"
 #include "fulmarpitch/net/http.h"
 #include "fulmarpitch/net/link-pool.h"
+#include "fulmarpitch/serving/begun-streams.h"
 #include "fulmarpitch/serving/crash-book.h"
 #include "fulmarpitch/serving/event-log.h"
 #include "fulmarpitch/serving/feed.h"
@@ -33,6 +34,7 @@
 #include "fulmarpitch/serving/settings.h"
 #include "fulmarpitch/serving/store.h"
 #include "fulmarpitch/serving/targets.h"
+#include "fulmarpitch/serving/versions.h"
 #include "platform/store-client.h"
 
 namespace fulmar::serving {
@@ -109,6 +111,28 @@
   instant retry_after{};
 };
 
+/// What is known of the versions of the targets' software.
+struct version_state {
+  version_history history;
+  /// The rows in the store as far as this daemon knows: when the last target of
+  /// a version left, or nothing while it is listed.
+  absl::flat_hash_map<stream_origin, std::optional<instant>> recorded;
+  /// The rows were read after the start.
+  bool read = false;
+  /// When a configuration last sent requests that may be resumed to another
+  /// service.
+  std::optional<instant> routes_moved;
+  /// Longest time seen between a client's first attempt and its last.
+  instant resume_time{};
+  bool writing = false;
+  bool writing_streams = false;
+  /// Earliest times of the next calls, on the steady clock.
+  instant next_read{};
+  instant next_write{};
+  instant next_stream_write{};
+  instant next_removal{};
+};
+
 /// The state of a daemon.
 struct front {
   front(event_loop& event_loop, vm_settings vm);
@@ -157,6 +181,10 @@
   crash_registry crashes;
   crash_row_queue crash_rows;
 
+  version_state versions;
+  /// Resumable streams that targets began for this daemon.
+  begun_streams begun;
+
   link_pool target_links;
   link_pool store_links;
   /// Connections to other daemons, for forwarded calls.
@@ -237,6 +265,9 @@
 service_targets targets_of(front& in, std::string_view service,
                            distance farthest = distance::other_region);
 
+/// Removes the targets whose software is of another version.
+void keep_version(service_targets& found, std::string_view version);
+
 /// Finds the targets that are full, judging by how long this daemon's own
 /// requests have waited there.
 /// \return the keys of the targets.
--- a/src/serving/job-run.cc
+++ b/src/serving/job-run.cc
@@ -82,6 +82,11 @@
                  std::uint32_t attempts, instant now,
                  const item_retry_options& options) {
   if (progressed) item.consecutive_breaks = item.withdrawal_count = 0;
+  if (progressed) {
+    item.stalled_since.reset();
+  } else if (!item.stalled_since) {
+    item.stalled_since = now;
+  }
   switch (end) {
     case attempt_end::complete:
       finish(item, item_end::done);
@@ -121,6 +126,17 @@
   wait(item, now + std::min(pause, options.max_backoff));
 }
 
+void begin_anew(job_item& item) {
+  item.progress = {.failures = item.progress.failures};
+  item.stalled_since.reset();
+}
+
+bool is_stalled(const job_item& item, instant now,
+                const item_retry_options& options) {
+  return item.stalled_since &&
+         now - *item.stalled_since >= options.max_version_wait;
+}
+
 void fail_waiting_items(job_run& run) {
   for (auto& it : run.items) {
     if (it.state == item_state::waiting) finish(it, item_end::dead);
@@ -167,7 +183,9 @@
         item.state == item_state::running || item.state == item_state::waiting;
     auto last = item.progress.last_event;
     auto failures = item.progress.failures;
-    auto news = last - item.saved_event >= min_events ||
+    // An item that began anew may have less output than was saved.
+    auto progressed = last > item.saved_event;
+    auto news = (progressed && last - item.saved_event >= min_events) ||
                 failures != item.saved_failures;
     if (!open || !news) continue;
     auto value = encode_progress(item.progress);
--- a/src/serving/job-system.cc
+++ b/src/serving/job-system.cc
@@ -9,6 +9,7 @@
 #include "crash-system.h"
 #include "front.h"
 #include "fulmarpitch/core/errors.h"
+#include "fulmarpitch/core/invariant.h"
 #include "fulmarpitch/core/rendezvous.h"
 #include "fulmarpitch/core/text.h"
 #include "fulmarpitch/net/event-splitter.h"
@@ -68,8 +69,10 @@
 };
 
 /// Appends an event to the item's output; skips events it already has.
+/// \param origin the software that sent the event.
 /// \return false when earlier events are missing or the run has ended.
-bool append_event(front& in, item_attempt& it, const stream_event& event) {
+bool append_event(front& in, item_attempt& it, const stream_event& event,
+                  const stream_origin& origin) {
   if (!event.id) return true;
   if (*event.id <= it.last_event) return true;
   if (*event.id != it.last_event + 1) return false;
@@ -77,6 +80,9 @@
   if (run == nullptr) return false;
   auto& progress = run->items[it.item].progress;
   if (it.last_event > 0) progress.output += '\n';
+  if (it.last_event == 0) progress.origin = origin;
+  ensure(progress.origin == origin, invariant::one_version,
+         "an item goes on at another version of its service");
   progress.output += event.data;
   progress.last_event = *event.id;
   it.last_event = *event.id;
@@ -90,7 +96,8 @@
 }
 
 task<attempt_end> read_events(front& in, item_attempt& it, http_link& link,
-                              const answer_head& head, live_attempt& entry) {
+                              const answer_head& head, live_attempt& entry,
+                              stream_origin origin) {
   const auto& to = entry.target;
   auto events = event_splitter();
   for (;;) {
@@ -102,7 +109,7 @@
     events.feed(*piece);
     while (auto event = events.next()) {
       auto before = it.last_event;
-      if (!append_event(in, it, *event)) {
+      if (!append_event(in, it, *event, origin)) {
         link.close();
         co_return attempt_end::broken;
       }
@@ -160,7 +167,7 @@
                         it.last_event);
       co_return attempt_end::broken;
     }
-    end = co_await read_events(in, it, *link, head, entry.row());
+    end = co_await read_events(in, it, *link, head, entry.row(), origin_of(to));
   } else {
     auto rest = co_await link->read_rest(max_error_body_bytes);
     if (!rest.ok()) co_return attempt_end::broken;
@@ -219,15 +226,70 @@
   return std::string(pick_service(*path, stable_hash(item.id)));
 }
 
-/// Starts an item on a target that has room for it, if there is one.
-bool start_item(front& in, const item_ref& ref, const batch_reserve& reserve) {
+/// Restarts an item from its first event, unless it has no output.
+void restart_item(front& in, job_item& item, std::string_view why) {
+  in.log.add("item_restarted", {{"request_id", item.request.id},
+                                {"service", item.progress.origin.service},
+                                {"version", item.progress.origin.version},
+                                {"lost_events", item.progress.last_event},
+                                {"why", why}});
+  begin_anew(item);
+}
+
+/// Prepares an item with output to go on: it begins anew if no target of the
+/// version that began it is left.
+void check_origin(front& in, job_item& item, const std::string& service) {
+  if (item.progress.last_event == 0 || service.empty()) return;
+  const auto& origin = item.progress.origin;
+  if (origin.service == service && has_target_for(in.targets, origin)) return;
+  restart_item(in, item, "no target of its version is left");
+}
+
+/// Removes the targets on which an item with output cannot go on. An item that
+/// its version does not continue while others have room begins anew.
+/// \return whether the item has to wait, as only others have room.
+bool keep_origin(front& in, job_item& item, service_targets& found,
+                 const batch_reserve& reserve) {
+  if (item.progress.last_event == 0) return false;
+  auto any = found;
+  keep_version(found, item.progress.origin.version);
+  if (found.rows.size() == any.rows.size()) return false;
+  constexpr auto options = item_retry_options();
+  auto breaks = item.consecutive_breaks >= options.max_version_breaks;
+  if (!breaks && place_batch(found.candidates, reserve)) return false;
+  if (!place_batch(any.candidates, reserve)) return false;
+  auto now = event_loop::steady();
+  if (breaks || is_stalled(item, now, options)) {
+    restart_item(in, item, "its version does not continue it");
+    found = std::move(any);
+    return false;
+  }
+  if (!item.stalled_since) item.stalled_since = now;
+  item.not_before = now + options.refusal_delay;
+  return true;
+}
+
+/// What became of an item that was to be started.
+enum class item_start {
+  started,
+  /// It waits for a target of the version that began it.
+  postponed,
+  no_room,
+};
+
+/// Starts an item on a target that has room for it.
+item_start start_item(front& in, const item_ref& ref,
+                      const batch_reserve& reserve) {
   auto& run = in.runs.at(ref.job);
   auto& item = run.items[ref.item];
   auto farthest = reserve.slots_per_reserved_away > 0 ? distance::other_region
                                                       : distance::data_centre;
-  auto found = targets_of(in, service_of(in, run.row, item.request), farthest);
+  auto service = service_of(in, run.row, item.request);
+  check_origin(in, item, service);
+  auto found = targets_of(in, service, farthest);
+  if (keep_origin(in, item, found, reserve)) return item_start::postponed;
   auto at = place_batch(found.candidates, reserve);
-  if (!at) return false;
+  if (!at) return item_start::no_room;
   item.state = item_state::running;
   auto it = item_attempt{.job = ref.job,
                          .serial = run.serial,
@@ -239,7 +301,7 @@
                          .withdrawal_count = item.withdrawal_count};
   asio::co_spawn(in.io, run_item(in, std::move(it), found.rows[*at]->listed),
                  report_failure);
-  return true;
+  return item_start::started;
 }
 
 /// Starts items in this data centre, and in others only those that would be
@@ -250,12 +312,17 @@
                             .heard_share = heard_share(in.board, now)};
   auto anywhere = here;
   anywhere.slots_per_reserved_away = slots_per_reserved_away;
-  for (auto started = 0; started < starts_per_tick; ++started) {
+  for (auto started = 0; started < starts_per_tick;) {
     auto next = next_item(in.runs, now, store_now);
     if (!next) return;
-    if (start_item(in, next->ref, here)) continue;
-    auto urgent = next_item(in.runs, now, store_now, {.only_urgent = true});
-    if (!urgent || !start_item(in, urgent->ref, anywhere)) return;
+    auto result = start_item(in, next->ref, here);
+    if (result == item_start::no_room) {
+      auto urgent = next_item(in.runs, now, store_now, {.only_urgent = true});
+      if (!urgent) return;
+      result = start_item(in, urgent->ref, anywhere);
+    }
+    if (result == item_start::no_room) return;
+    if (result == item_start::started) ++started;
   }
 }
 
--- a/src/serving/jobs.cc
+++ b/src/serving/jobs.cc
@@ -1,12 +1,15 @@
 #include "fulmarpitch/serving/jobs.h"
 
 #include <absl/strings/numbers.h>
+#include <absl/strings/str_split.h>
 
+#include <algorithm>
 #include <boost/json.hpp>
 #include <utility>
 
 #include "fulmarpitch/core/errors.h"
 #include "fulmarpitch/core/text.h"
+#include "fulmarpitch/net/url.h"
 #include "platform/json-fields.h"
 
 namespace fulmar::serving {
@@ -144,22 +147,34 @@
 }
 
 std::string encode_progress(const item_progress& it) {
-  return concat(it.last_event, " ", it.failures, "\n", it.output);
+  return concat(it.last_event, " ", it.failures, " ",
+                percent_encode(it.origin.service), " ",
+                percent_encode(it.origin.version), "\n", it.output);
 }
 
 absl::StatusOr<item_progress> decode_progress(std::string_view text) {
   auto end = text.find('\n');
-  auto head = text.substr(0, end);
-  auto space = head.find(' ');
+  auto fields = std::vector<std::string>(absl::StrSplit(
+      absl::string_view(text.data(), std::min(end, text.size())), ' '));
   auto out = item_progress();
-  auto read = [](std::string_view from, auto& to) {
-    return absl::SimpleAtoi(std::string(from), &to);
-  };
-  if (end == std::string_view::npos || space == std::string_view::npos ||
-      !read(head.substr(0, space), out.last_event) ||
-      !read(head.substr(space + 1), out.failures)) {
+  constexpr std::size_t field_count = 4;
+  // Rows of earlier releases do not have the last two.
+  constexpr std::size_t min_field_count = 2;
+  auto complete =
+      fields.size() == field_count || fields.size() == min_field_count;
+  if (end == std::string_view::npos || !complete ||
+      !absl::SimpleAtoi(fields[0], &out.last_event) ||
+      !absl::SimpleAtoi(fields[1], &out.failures)) {
     return make_error(error_code::bad_request, "malformed progress");
   }
+  if (fields.size() == field_count) {
+    auto service = percent_decode(fields[2]);
+    auto version = percent_decode(fields[3]);
+    if (!service || !version)
+      return make_error(error_code::bad_request, "malformed progress");
+    out.origin = {.service = std::move(*service),
+                  .version = std::move(*version)};
+  }
   out.output = text.substr(end + 1);
   return out;
 }
--- a/src/serving/late-queue.cc
+++ b/src/serving/late-queue.cc
@@ -31,6 +31,14 @@
   ++limit.recent.all;
 }
 
+instant longest_time_limit(const observed_time_limit& limit) {
+  auto out = instant();
+  for (const auto* it : {&limit.recent.by_time, &limit.before.by_time}) {
+    if (!it->empty()) out = std::max(out, it->begin()->first);
+  }
+  return out;
+}
+
 instant time_limit(const observed_time_limit& limit) {
   const auto& a = limit.recent.by_time;
   const auto& b = limit.before.by_time;
--- a/src/serving/online.cc
+++ b/src/serving/online.cc
@@ -11,10 +11,12 @@
 #include "crash-system.h"
 #include "front.h"
 #include "fulmarpitch/core/errors.h"
+#include "fulmarpitch/core/invariant.h"
 #include "fulmarpitch/core/rendezvous.h"
 #include "fulmarpitch/core/text.h"
 #include "fulmarpitch/net/event-splitter.h"
 #include "platform/names.h"
+#include "version-system.h"
 
 namespace fulmar::serving {
 namespace {
@@ -73,6 +75,12 @@
   bool holds_trial = false;
   absl::flat_hash_set<std::string> tried;
   std::uint64_t last_event = 0;
+  /// The attempt that brought the first event of a stream that is resumed, or
+  /// this one; empty if the client does not name it.
+  std::string begun_by;
+  /// Resumable streams: the software that began the stream.
+  std::optional<stream_origin> origin;
+  origin_source origin_known = origin_source::unknown;
   bool head_sent = false;
   bool client_gone = false;
   /// The attempt in flight, if any.
@@ -169,9 +177,15 @@
          max_late_running(share_of_slots(in, it), rate, in.slot_time);
 }
 
+/// \return whether a target is listed that may run the request.
+bool may_continue(const front& in, const online_request& it) {
+  return !it.origin || has_target_for(in.targets, *it.origin);
+}
+
 /// Collects the targets for a request and counts the slots near by.
 service_targets candidates_for(front& in, online_request& it) {
   auto found = targets_of(in, it.service);
+  if (it.origin) keep_version(found, it.origin->version);
   it.load_age = oldest_report(in.board, event_loop::steady());
   it.local_slots = 0;
   for (auto n = std::size_t{0}; n < found.rows.size(); ++n) {
@@ -217,7 +231,7 @@
 task<std::string> hold(front& in, online_request& it) {
   auto& entry = it.late_entry.emplace(in.late_requests, it.deadline);
   auto id = std::string();
-  while (is_late(in, it) && !it.client_gone) {
+  while (is_late(in, it) && !it.client_gone && may_continue(in, it)) {
     if (entry.is_first()) id = place_held(in, it);
     if (!id.empty()) break;
     co_await pause_for(late_poll_interval);
@@ -271,11 +285,19 @@
   if (lost) note_target_end(in, causes_of(it), it.id, it.to);
 }
 
+/// Records which software began a resumable stream.
+void note_origin(front& in, online_request& it) {
+  if (!it.origin) it.origin = origin_of(it.to);
+  if (it.begun_by.empty()) return;
+  note_begun(in.begun, it.begun_by, *it.origin, event_loop::steady());
+}
+
 task<serve_outcome> forward_stream(front& in, online_request& it,
                                    http_link& link, const answer_head& head,
                                    live_attempt& entry) {
   if (!it.head_sent) {
     it.head_sent = true;
+    if (it.matched_route->resumable) note_origin(in, it);
     it.client->start_stream(
         {.status = head.status, .headers = forwarded_headers(head)});
   }
@@ -376,6 +398,8 @@
 }
 
 task<serve_outcome> serve_at(front& in, online_request& it, target to) {
+  ensure(!it.origin || *it.origin == origin_of(to), invariant::one_version,
+         "a stream goes on at another version of its service");
   auto claim = load_guard(in, stable_hash(to.id), work_kind::online);
   preempt_batch_items(in);
   auto entry =
@@ -442,6 +466,9 @@
        {"route", it.matched_route->name},
        {"end", end},
        {"target", it.to.id},
+       {"software", it.to.version},
+       {"begun_by", it.begun_by},
+       {"origin", name_in(origin_source_names, it.origin_known)},
        {"placed", name_in(placement_reason_names, it.placed.reason)},
        {"online_there", std::uint64_t{it.load_seen.online}},
        {"batch_there", std::uint64_t{it.load_seen.batch}},
@@ -476,8 +503,15 @@
     auto id = std::string();
     if (!it.late_entry && is_late(in, it)) id = co_await hold(in, it);
     if (it.client_gone) co_return "client_gone";
-    if (id.empty() && it.tried.size() < max_refusals) id = place(in, it);
+    if (id.empty() && it.tried.size() < max_refusals && may_continue(in, it))
+      id = place(in, it);
     auto* row = id.empty() ? nullptr : find_target(in.targets, id);
+    if (row == nullptr && !may_continue(in, it)) {
+      it.retry_after = {};
+      give_up(it, now,
+              "no target of the version that began the stream is left");
+      co_return "version_gone";
+    }
     if (row == nullptr) {
       if (it.runs > 0 && it.matched_route->repeatable()) {
         it.tried.clear();
@@ -515,6 +549,33 @@
   }
 }
 
+/// Finds the software that began the stream that the client resumes, and keeps
+/// the request with it.
+/// \return whether the stream may go on.
+task<bool> find_origin(front& in, online_request& it) {
+  auto found = co_await find_stream_origin(in, it.begun_by, it.service);
+  it.origin_known = found.source;
+  if (found.source == origin_source::unknown) co_return false;
+  // A split may send the attempts of one stream to several services.
+  if (!leads_to(*it.matched_route, found.origin.service)) co_return false;
+  it.service = found.origin.service;
+  it.origin = std::move(found.origin);
+  co_return true;
+}
+
+/// Serves a request that goes on with a stream, if its origin is known.
+/// \return the outcome for the log.
+task<std::string_view> resume(front& in, online_request& it) {
+  auto known = co_await find_origin(in, it);
+  if (it.client_gone) co_return "client_gone";
+  if (!known) {
+    give_up(it, event_loop::steady(), "the stream's version is not known");
+    co_return "origin_unknown";
+  }
+  auto end = co_await run(in, it);
+  co_return end;
+}
+
 }  // namespace
 
 task<void> serve_online(
@@ -532,18 +593,27 @@
   it.fields = forwarded_header_lines(headers);
   set_times(in, it);
   if (!is_late(in, it)) note_arrival(in.arrivals, it.arrived);
-  it.service = pick_service(matched_route, stable_hash(it.id));
+  it.begun_by = it.id;
   auto resumed = find_header(headers, platform::header::last_event);
   if (auto last = std::uint64_t{0};
       absl::SimpleAtoi(std::string(resumed), &last))
     it.last_event = last;
+  auto resumes = matched_route.resumable && it.last_event > 0;
+  if (resumes) it.begun_by = find_header(headers, platform::header::resumes);
+  const auto& first_id = it.begun_by.empty() ? it.id : it.begun_by;
+  it.service = pick_service(matched_route, stable_hash(first_id));
   client->on_closed([weak = std::weak_ptr(request)] {
     auto gone = weak.lock();
     if (!gone) return;
     gone->client_gone = true;
     if (gone->attempt != nullptr) gone->attempt->stop();
   });
-  auto end = co_await run(in, it);
+  auto end = std::string_view();
+  if (resumes) {
+    end = co_await resume(in, it);
+  } else {
+    end = co_await run(in, it);
+  }
   log_request(in, it, end);
 }
 
--- a/src/serving/routes.cc
+++ b/src/serving/routes.cc
@@ -34,6 +34,21 @@
   return from.shares.back().service;
 }
 
+bool moves_resumable_routes(const served_configuration& before,
+                            const served_configuration& next) {
+  return std::any_of(
+      next.routes.begin(), next.routes.end(), [&](const auto& it) {
+        const auto* known = find_route(before, it.name);
+        return it.resumable && known != nullptr && known->shares != it.shares;
+      });
+}
+
+bool leads_to(const route& from, std::string_view service) {
+  return std::any_of(
+      from.shares.begin(), from.shares.end(),
+      [&](const auto& it) { return it.weight > 0 && it.service == service; });
+}
+
 const service* find_service(const served_configuration& in,
                             std::string_view name) {
   auto it = std::find_if(in.services.begin(), in.services.end(),
--- a/src/serving/targets.cc
+++ b/src/serving/targets.cc
@@ -29,7 +29,8 @@
   auto [it, added] = table.rows.try_emplace(listed.id);
   auto& row = it->second;
   auto restarted = !added && (row.listed.started_ms != listed.started_ms ||
-                              row.listed.address != listed.address);
+                              row.listed.address != listed.address ||
+                              row.listed.version != listed.version);
   if (restarted) row.seen = {};
   row.key = key;
   table.ids[key] = listed.id;
--- a/support/serving-fixture.h
+++ b/support/serving-fixture.h
@@ -147,14 +147,26 @@
   }
 
   /// Writes a target's row to the store; `started_ms` of 0 omits its start
-  /// time.
-  void list_target(std::size_t number, std::uint64_t started_ms) {
+  /// time, and an empty `version` that of its software.
+  void list_target(std::size_t number, std::uint64_t started_ms,
+                   const std::string& version = {}) {
     const auto& it = targets[number - 1];
+    auto software = version.empty()
+                        ? std::string()
+                        : concat(R"("version":")", version, R"(",)");
     auto started =
         started_ms > 0 ? concat(R"("born":)", started_ms, ",") : std::string();
     store.put("servers", concat("t", number),
               concat(R"({"service":"s","zone":"dc","slots":8,"state":"ready",)",
-                     started, R"("addr":")", it.address(), R"("})"));
+                     started, software, R"("addr":")", it.address(), R"("})"));
+  }
+
+  /// Adds a target whose software has a version.
+  scripted_target& add_target(scripted_target::script answer,
+                              const std::string& version) {
+    auto& it = add_target(std::move(answer));
+    list_target(targets.size(), 0, version);
+    return it;
   }
 
   std::unique_ptr<serving::serving_daemon> start_daemon(
