Refuse late requests that may outlast a daemon that shuts down

What callers saw, on a system like this one: requests that came late in the grace of a planned stop were passed on and cut at its end, among them ones that may not be repeated.

Cause: nothing bounded what was taken by what is left of the grace. A request whose last bytes arrive late was passed on.

Change: from the end of the rotation on, what may be answered only after the end of the process is refused at once as not run, with the connection closed behind it.

--- a/src/serving/daemon.cc
+++ b/src/serving/daemon.cc
@@ -150,18 +150,19 @@
 task<void> shut_down_gracefully(front& in, std::function<void()> done) {
   auto began = event_loop::steady();
   in.leaving = true;
+  in.rotation_end = began + rotation_delay;
+  in.shutdown_end = began + in.settings.grace - shutdown_margin;
   in.log.add("stopping", {{"open", std::uint64_t{in.clients->open_exchanges()}},
                           {"jobs", std::uint64_t{in.runs.size()}}});
   in.reports->send_to_all();
   in.book_changed.notify();
-  auto end = began + in.settings.grace - shutdown_margin;
-  while (event_loop::steady() < began + rotation_delay) {
+  while (event_loop::steady() < in.rotation_end) {
     release_jobs(in);
     co_await pause_for(tick_period);
   }
   in.clients->stop_accepting();
   in.clients->close_idle();
-  while (event_loop::steady() < end &&
+  while (event_loop::steady() < in.shutdown_end &&
          (in.clients->open_exchanges() > 0 || !in.runs.empty())) {
     in.clients->close_idle();
     release_jobs(in);
--- a/src/serving/front.cc
+++ b/src/serving/front.cc
@@ -243,6 +243,11 @@
   return !in.leaving && has_started(in);
 }
 
+bool may_outlast_daemon(const front& in, instant deadline) {
+  return in.leaving && event_loop::steady() >= in.rotation_end &&
+         deadline > in.shutdown_end;
+}
+
 void refuse(http_exchange& client, int status, std::string_view reason,
             std::optional<instant> retry_after) {
   auto answer = http_response{.status = status,
--- a/src/serving/front.h
+++ b/src/serving/front.h
@@ -215,6 +215,10 @@
   std::unique_ptr<http_server> metrics_server;
   /// The daemon is shutting down.
   bool leaving = false;
+  /// When shutting down: until when the load balancer may send requests, and
+  /// when this process ends, on the steady clock.
+  instant rotation_end{};
+  instant shutdown_end{};
   /// Counts placements; salts the tie-breaking between equal targets.
   std::uint64_t request_count = 0;
   /// When this process started, on the steady clock.
@@ -304,6 +308,12 @@
 /// \return whether the daemon can serve requests and is not shutting down.
 bool is_ready(const front& in);
 
+/// \param deadline when the request is answered at the latest.
+/// \return whether this process may end before a request that arrives now is
+///     answered. What arrives while the load balancer still sends requests is
+///     served, as most answers take far less time than they may.
+bool may_outlast_daemon(const front& in, instant deadline);
+
 // Periodic and long-running work.
 
 /// Keeps the active configuration up to date.
--- a/src/serving/online.cc
+++ b/src/serving/online.cc
@@ -592,6 +592,11 @@
   it.host = find_header(headers, "Host");
   it.fields = forwarded_header_lines(headers);
   set_times(in, it);
+  if (may_outlast_daemon(in, it.deadline)) {
+    refuse(*client, status_not_run, "shutting down", instant{});
+    log_request(in, it, "leaving");
+    co_return;
+  }
   if (!is_late(in, it)) note_arrival(in.arrivals, it.arrived);
   it.begun_by = it.id;
   auto resumed = find_header(headers, platform::header::last_event);
--- a/src/serving/requests.cc
+++ b/src/serving/requests.cc
@@ -20,6 +20,10 @@
 /// Interval at which a waiting request checks whether the daemon has started.
 constexpr auto startup_poll_interval = std::chrono::milliseconds(10);
 
+/// Longest time that a call on a job takes, besides the wait for a result,
+/// which ends when the daemon shuts down.
+constexpr auto job_call_time = std::chrono::milliseconds(2500);
+
 /// Dispatches calls on a job by its id.
 /// \return false when the request is not such a call.
 bool dispatch_job_call(front& in,
@@ -89,6 +93,11 @@
 
 void handle_request(front& in, const std::shared_ptr<http_exchange>& client) {
   if (in.leaving) client->close_after();
+  if (may_outlast_daemon(in, event_loop::steady() + job_call_time)) {
+    in.log.add("request_not_taken",
+               {{"path", client->request().target}, {"why", "shutting down"}});
+    return refuse(*client, status_not_run, "shutting down", instant{});
+  }
   if (has_started(in)) return route_request(in, client);
   asio::co_spawn(in.io, route_after_start(in, client), report_failure);
 }
