Wait for a silent target that alone may go on with an answer

Cause: an attempt whose target sent nothing for 0.7 s was closed even if its route allowed no further attempt, or no other target could go on. The client's answer was then broken off, though its target was sound and silent for a moment only.

Change: once the client has the head of the answer, an attempt is closed for silence only if the request may run again and another target of the same version may take it.

--- a/src/serving/front.h
+++ b/src/serving/front.h
@@ -52,6 +52,12 @@
   std::string job;
   /// The request may be retried at another target.
   bool repeatable = false;
+  /// The target's software.
+  stream_origin origin;
+  /// Online: the request has used up the attempts that its route allows.
+  bool is_last = false;
+  /// Online: the client has received the head of the answer.
+  bool head_sent = false;
   /// A target that sends nothing for this long counts as silent.
   instant silence_timeout = min_silence_timeout;
   instant started{};
--- a/src/serving/online.cc
+++ b/src/serving/online.cc
@@ -391,6 +391,11 @@
   in.slot_time += (took - in.slot_time) / slot_time_weight;
 }
 
+/// \return whether a request that runs now may not run once more.
+bool is_last_attempt(const online_request& it) {
+  return it.runs + 1 >= it.matched_route->attempts;
+}
+
 /// Counts an attempt that may have run; it uses up a granted trial.
 void note_run(online_request& it) {
   ++it.runs;
@@ -405,6 +410,9 @@
   auto entry =
       attempt_entry(in, {.target = to.id,
                          .repeatable = it.matched_route->repeatable(),
+                         .origin = origin_of(to),
+                         .is_last = is_last_attempt(it),
+                         .head_sent = it.head_sent,
                          .silence_timeout = std::max<instant>(
                              min_silence_timeout,
                              silence_timeout_factor * it.matched_route->goal)});
--- a/src/serving/slots.cc
+++ b/src/serving/slots.cc
@@ -33,6 +33,26 @@
   return out;
 }
 
+/// \return whether another target that is not avoided could go on with a
+///     request.
+bool has_alternative(const front& in, const live_attempt& it, instant now) {
+  return std::any_of(
+      in.targets.rows.begin(), in.targets.rows.end(), [&](const auto& other) {
+        const auto& [id, row] = other;
+        return id != it.target && origin_of(row.listed) == it.origin &&
+               trust_in(row, {}, now) != trust::none;
+      });
+}
+
+/// \return whether a request at a silent target may be closed. A target may be
+///     silent for a while and go on, so an answer that has begun and cannot go
+///     on elsewhere waits for it.
+bool may_close(const front& in, const live_attempt& it, instant now) {
+  auto has_begun = it.has_output || it.head_sent;
+  if (it.kind == work_kind::batch || !has_begun) return true;
+  return !it.is_last && has_alternative(in, it, now);
+}
+
 }  // namespace
 
 void preempt_batch_items(front& in) {
@@ -105,7 +125,8 @@
         row != nullptr && trust_at(row->seen.doubt, now) != trust::none) {
       record_target_failure(in, it.target, target_fault::silent);
     }
-    if (it.repeatable && it.link && it.link->is_open()) it.link->close();
+    if (!it.repeatable || !it.link || !it.link->is_open()) continue;
+    if (may_close(in, it, now)) it.link->close();
   }
 }
 
--- a/support/scripted-target.h
+++ b/support/scripted-target.h
@@ -34,6 +34,9 @@
   bool silent = false;
   /// Time to wait before responding.
   instant delay{};
+  /// Sent verbatim after a pause.
+  instant pause{};
+  std::string rest{};
 };
 
 /// When a scripted target responds, relative to reading the request body.
@@ -125,6 +128,9 @@
       }
       if (it.delay.count() > 0) co_await pause_for(it.delay);
       co_await asio::async_write(socket, asio::buffer(it.bytes), as_result);
+      if (it.pause.count() > 0) co_await pause_for(it.pause);
+      if (!it.rest.empty())
+        co_await asio::async_write(socket, asio::buffer(it.rest), as_result);
       if (!it.endless.empty()) co_await send_endlessly(socket, it.endless);
       if (it.reset) {
         co_await pause_for(std::chrono::milliseconds(50));
--- a/test/one-version-test.cc
+++ b/test/one-version-test.cc
@@ -138,6 +138,29 @@
   CHECK(resumed == 2);
 }
 
+TEST_CASE("a broken stream ends at once if its version has no target left") {
+  const auto* other = GENERATE("v2", "");
+  auto& it = make_fixture();
+  it.add_target(
+      [&it, other](const std::string& head) {
+        it.store.remove("servers", "t1");
+        it.list_target(2, 0, other);
+        return scripted_answer{
+            .bytes = stream_head(id_of(head)) + chunk(text_of("v1", 1, 2)),
+            .close = true,
+            .pause = list_time,
+            .rest = chunk("id: 3\nda")};
+      },
+      "v1");
+  it.add_target(serve("v2"));
+  it.store.remove("servers", "t2");
+  it.start();
+  auto answer = begin(it, "a1", list_time + 1s);
+  CHECK_FALSE(answer.whole);
+  CHECK(answer.text == text_of("v1", 1, 2));
+  CHECK(is_not_run(resume(it, "a2", "a1")));
+}
+
 TEST_CASE("any daemon goes on with a stream at the version that began it") {
   auto& it = make_fixture();
   it.add_target(break_off_always("v1"), "v1");
