Test what versions need of routes, items, progress and entries

The cases cover shares and their changes, items that wait for their version or begin anew, the origin in saved progress (rows of earlier releases included), the longest time limit and the version of an entry.

--- a/test/job-run-test.cc
+++ b/test/job-run-test.cc
@@ -307,3 +307,36 @@
     CHECK_FALSE(must_stop(run, known));
   }
 }
+
+TEST_CASE("an item that its version does not continue is stalled") {
+  auto run = sample();
+  auto& item = running(run, 0);
+  end_attempt(item, attempt_end::broken, false, 3, 10s);
+  CHECK_FALSE(is_stalled(item, 12999ms));
+  CHECK(is_stalled(item, 13s));
+  end_attempt(running(run, 0), attempt_end::preempted, false, 3, 12s);
+  CHECK(is_stalled(item, 13s));
+  end_attempt(running(run, 0), attempt_end::broken, true, 3, 13s);
+  CHECK_FALSE(is_stalled(item, 20s));
+}
+
+TEST_CASE("an item that begins anew keeps its failures and is saved later") {
+  auto run = sample();
+  auto& item = run.items[1];
+  item.progress = {.last_event = 50,
+                   .output = "x",
+                   .failures = 2,
+                   .origin = {.service = "s", .version = "v1"}};
+  item.saved_event = 40;
+  item.saved_failures = 2;
+  begin_anew(item);
+  CHECK(item.progress.last_event == 0);
+  CHECK(item.progress.output.empty());
+  CHECK(item.progress.failures == 2);
+  CHECK(item.progress.origin.service.empty());
+  CHECK_FALSE(next_save(run, 20, 1000));
+  item.progress.last_event = 59;
+  CHECK_FALSE(next_save(run, 20, 1000));
+  item.progress.last_event = 60;
+  CHECK(next_save(run, 20, 1000));
+}
--- a/test/late-queue-test.cc
+++ b/test/late-queue-test.cc
@@ -294,3 +294,13 @@
   CHECK(counts.fresh_in_time >= 0.95 * counts.fresh);
   CHECK(counts.old_served == counts.old);
 }
+
+TEST_CASE("the longest time limit counts however rare it is") {
+  auto limit = observed_time_limit();
+  CHECK(longest_time_limit(limit) == 0s);
+  note_time_limit(limit, 9s, 100s);
+  for (auto n = 0; n < 100; ++n)
+    note_time_limit(limit, 2s, 101s);
+  CHECK(time_limit(limit) == 2s);
+  CHECK(longest_time_limit(limit) == 9s);
+}
--- a/test/platform-decoding-test.cc
+++ b/test/platform-decoding-test.cc
@@ -191,3 +191,19 @@
         R"({"total":4,"next":3,"results":[{"id":"a","state":"done",)"
         R"("output":"x\ny"}]})");
 }
+
+TEST_CASE("an entry names the version of its target's software") {
+  auto entry = [](const std::string& field) {
+    return decode_target(
+        "i-1", R"({"service":"s","addr":"10.0.0.9:80","zone":"z","slots":8,)" +
+                   field + R"("state":"ready"})");
+  };
+  CHECK(entry(R"("version":"v1.3",)")->version == "v1.3");
+  CHECK(entry("")->version.empty());
+  const auto* odd =
+      GENERATE(R"("version":7,)", R"("version":null,)", R"("version":["v1"],)");
+  CHECK_FALSE(entry(odd).ok());
+  auto longest = std::string(128, 'v');
+  CHECK(entry(R"("version":")" + longest + R"(",)").ok());
+  CHECK_FALSE(entry(R"("version":")" + longest + R"(v",)").ok());
+}
--- a/test/serving-jobs-test.cc
+++ b/test/serving-jobs-test.cc
@@ -138,3 +138,17 @@
   CHECK(progress->output == "x\ny");
   CHECK_FALSE(decode_progress("x\ny").ok());
 }
+
+TEST_CASE("progress keeps the version that produced it") {
+  auto origin = stream_origin{.service = "s 1", .version = "v/1 \n%"};
+  auto it = decode_progress(
+      encode_progress({.last_event = 1, .output = "x", .origin = origin}));
+  REQUIRE(it.ok());
+  CHECK(it->origin == origin);
+  auto earlier = decode_progress("7 2\nx");
+  REQUIRE(earlier.ok());
+  CHECK(earlier->last_event == 7);
+  CHECK(earlier->origin == stream_origin());
+  CHECK_FALSE(decode_progress("7 2 s\nx").ok());
+  CHECK_FALSE(decode_progress("7 2 % v\nx").ok());
+}
--- a/test/serving-routes-test.cc
+++ b/test/serving-routes-test.cc
@@ -58,3 +58,26 @@
   CHECK(route{.kind = route_kind::safe}.repeatable());
   CHECK_FALSE(route{.kind = route_kind::at_most_once}.repeatable());
 }
+
+TEST_CASE("a route leads to the services that have a weight") {
+  auto it = route{.shares = {{"one", 3}, {"two", 0}}};
+  CHECK(leads_to(it, "one"));
+  CHECK_FALSE(leads_to(it, "two"));
+  CHECK_FALSE(leads_to(it, "three"));
+}
+
+TEST_CASE("a configuration that moves resumable requests is recognised") {
+  auto before = served_configuration{
+      .routes = {{.name = "r", .resumable = true, .shares = {{"one", 3}}}}};
+  auto next = before;
+  CHECK_FALSE(moves_resumable_routes(before, next));
+  SECTION("to another service") {
+    next.routes[0].shares = {{"two", 3}};
+  }
+  SECTION("in other shares") {
+    next.routes[0].shares = {{"one", 1}, {"two", 1}};
+  }
+  CHECK(moves_resumable_routes(before, next));
+  before.routes[0].resumable = next.routes[0].resumable = false;
+  CHECK_FALSE(moves_resumable_routes(before, next));
+}
