Record begun streams sooner where there are many daemons

Cause: a daemon paused between two writes of begun streams for 10 ms for each live daemon, 0.85 s there. A stream lasts half a second, so that most rows were not yet written when their clients came back, and the take-ups were refused as unknown.

Change: 2 ms for each live daemon, 0.17 s there.

--- a/src/serving/version-system.cc
+++ b/src/serving/version-system.cc
@@ -17,8 +17,9 @@
 constexpr std::size_t max_transaction_rows = 98;
 
 /// Shortest pause between two writes of a daemon, for each live daemon: all
-/// together make at most 100 writes a second.
-constexpr auto write_interval_per_member = std::chrono::milliseconds(10);
+/// together make at most 500 writes a second. A stream lasts half a second, and
+/// its row has to be written when its client comes back.
+constexpr auto write_interval_per_member = std::chrono::milliseconds(2);
 
 /// Interval of checking whether streams have to be recorded, while none has.
 constexpr auto record_check_interval = std::chrono::milliseconds(40);
