Show a batch job whose results are never listed after an outage of the store

Case 1 of the review: a job of 200 items, a store that is down for 6 s. The owner's transaction has over 100 entries and is refused for good.

--- /dev/null
+++ b/review/standins/cases.cc
@@ -0,0 +1,244 @@
+/// \file
+/// The cases of the review: each starts a small deployment, brings about one
+/// disruption and checks one rule.
+
+#include <signal.h>
+
+#include <cstdlib>
+#include <exception>
+#include <iostream>
+
+#include "scene.h"
+
+namespace review {
+namespace {
+
+constexpr double finish_s = 18;
+
+/// Waits for a job's results for `finishS`, then judges LOST: an item that is
+/// listed neither as done nor as dead, though nothing runs any more.
+int judge_listed(scene& in, const job& it) {
+  constexpr double look_s = 0.5;
+  constexpr double calm_s = 5;
+  auto until = seconds() + finish_s;
+  auto best = std::size_t{0};
+  auto idle_since = seconds();
+  auto finished = std::uint32_t{0};
+  for (auto n = std::size_t{0}; seconds() < until; ++n) {
+    auto& at = *in.daemons[n % in.daemons.size()];
+    auto page = read_from(at, it, best);
+    if (page && !page->empty()) {
+      best += page->size();
+      in.say("client: " + std::to_string(best) + " results are listed");
+    }
+    if (best >= it.items.size()) break;
+    auto running = std::uint32_t{0};
+    auto done = std::uint32_t{0};
+    for (const auto& target : in.runners) {
+      running += target->running();
+      done += target->finished();
+    }
+    if (running > 0 || done != finished) idle_since = seconds();
+    finished = done;
+    pause_for(look_s);
+  }
+  if (!in.all_alive()) return could_not_run;
+  auto missing = it.items.size();
+  for (const auto& at : in.daemons) {
+    auto all = read_all(*at, it);
+    if (!all) continue;
+    missing = std::min(missing, it.items.size() - all->size());
+    in.say("client: " + at->name() + " lists " + std::to_string(all->size()) +
+           " of " + std::to_string(it.items.size()) + " results");
+  }
+  auto idle = seconds() - idle_since;
+  in.say("runners finished " + std::to_string(finished) +
+         " runs; idle for the last " + std::to_string(idle) + " s");
+  if (missing == 0) {
+    in.say("RULE HELD: every item is listed");
+    return rule_held;
+  }
+  if (idle < calm_s) {
+    in.say("UNDECIDED: the runners still work");
+    return could_not_run;
+  }
+  in.say("RULE BROKEN (LOST): " + std::to_string(missing) +
+         " items of an open batch job are listed neither as done nor as dead");
+  return rule_broken;
+}
+
+void add_runners(scene& in, std::uint32_t count, const runner_options& each) {
+  for (auto n = std::uint32_t{1}; n <= count; ++n) {
+    auto options = each;
+    options.id = "i-" + std::to_string(n);
+    in.add_runner(options);
+  }
+}
+
+/// The store is down while the items of a job of 200 finish.
+int listing_after_outage(scene& in) {
+  constexpr double outage_s = 6;
+  constexpr std::size_t items = 200;
+  in.configure(1, batch_route());
+  add_runners(in, 6, {.events = 60});
+  in.add_daemon("front-1", "zone-a");
+  in.add_daemon("front-2", "zone-a");
+  if (!in.start()) return could_not_run;
+  auto it = make_job("7c41e09b52d6a3f8", items, 940);
+  if (submit(in, *in.daemons[0], it, 2) != 202) return could_not_run;
+  pause_for(0.3);
+  if (in.trouble) in.rows.set(store_state::down);
+  pause_for(outage_s);
+  if (in.trouble) in.rows.set(store_state::sound);
+  return judge_listed(in, it);
+}
+
+/// The operator removes the batch route while a job is open.
+int route_removed(scene& in) {
+  constexpr std::size_t items = 60;
+  in.configure(1, batch_route());
+  add_runners(in, 2, {.events = 100});
+  in.add_daemon("front-1", "zone-a");
+  in.add_daemon("front-2", "zone-a");
+  if (!in.start()) return could_not_run;
+  auto it = make_job("7c41e09b52d6a3f8", items, 940);
+  if (submit(in, *in.daemons[0], it, 2) != 202) return could_not_run;
+  pause_for(1);
+  in.configure(3, in.trouble ? std::nullopt : std::optional(batch_route()));
+  constexpr double settle_s = 6;
+  pause_for(settle_s);
+  return judge_listed(in, it);
+}
+
+/// Freezes a daemon, hands in a job just before it wakes, and thaws it.
+/// \return the status of the submission, and when it was sent.
+std::pair<int, double> submit_at_wake(scene& in, const front& to, const job& it,
+                                      double frozen_s,
+                                      const std::function<void()>& meanwhile) {
+  constexpr double before_wake_s = 0.7;
+  constexpr double timeout_s = 1.5;
+  auto began = seconds();
+  if (in.trouble) {
+    to.signal(SIGSTOP);
+    in.say("SIGSTOP to " + to.name());
+  }
+  meanwhile();
+  pause_for(std::max(0.0, began + frozen_s - before_wake_s - seconds()));
+  auto sent = seconds();
+  auto wake = std::thread([&] {
+    pause_for(before_wake_s);
+    if (!in.trouble) return;
+    in.say("SIGCONT to " + to.name());
+    to.signal(SIGCONT);
+  });
+  auto status = submit(in, to, it, timeout_s);
+  wake.join();
+  return {status, sent};
+}
+
+/// A daemon that freezes accepts a job as it wakes; its items wait.
+int dead_too_early(scene& in) {
+  constexpr std::uint32_t max_wait_s = 20;
+  constexpr double frozen_s = 4.0;
+  in.configure(1, batch_route{.max_wait_s = max_wait_s});
+  add_runners(in, 1, {.events = 1500});
+  in.add_daemon("front-1", "zone-a");
+  in.add_daemon("front-2", "zone-b");
+  if (!in.start()) return could_not_run;
+  // Long items take all slots that batch may have.
+  auto first = make_job("11aa", 8, 940);
+  if (submit(in, *in.daemons[1], first, 2) != 202) return could_not_run;
+  pause_for(2);
+  auto it = make_job("7c41e09b52d6a3f8", 3, 940);
+  auto [status, sent] = submit_at_wake(in, *in.daemons[0], it, frozen_s, [] {});
+  if (status != 202) return could_not_run;
+  auto limit = sent + max_wait_s;
+  while (seconds() < limit + 3) {
+    auto all = read_all(*in.daemons[1], it);
+    auto now = seconds();
+    if (all && !all->empty()) {
+      in.say("client: item " + all->front().id + " is listed as " +
+             all->front().state + ", " + std::to_string(now - sent) +
+             " s after the job was first sent");
+      if (all->front().state != "dead") return could_not_run;
+      if (now >= limit) break;
+      in.say("RULE BROKEN (MIXED): an item is dead before maxWaitS = " +
+             std::to_string(max_wait_s));
+      return rule_broken;
+    }
+    pause_for(0.1);
+  }
+  in.say("RULE HELD: no item is dead before maxWaitS");
+  return rule_held;
+}
+
+/// A daemon that freezes accepts a job beyond the route's limit as it wakes.
+int quota_after_freeze(scene& in) {
+  constexpr double frozen_s = 3.5;
+  constexpr std::uint64_t max_queued = 60'000;
+  constexpr double quota_over = 0.1;
+  // Longer than a new job takes to be known to all daemons.
+  constexpr double pause_s = 0.36;
+  in.configure(1, batch_route{.max_queued = max_queued});
+  add_runners(in, 1, {.events = 3000});
+  for (const auto* name : {"front-1", "front-2", "front-3"})
+    in.add_daemon(name, "zone-a");
+  if (!in.start()) return could_not_run;
+  auto accepted = std::uint64_t{0};
+  auto last = make_job("7c41e09b52d6a3f8", 9, 1000);
+  auto fill = [&] {
+    for (auto n = 0; n < 7; ++n) {
+      auto it = make_job("aa0" + std::to_string(n), 10, 1000);
+      auto& to = *in.daemons[1 + static_cast<std::size_t>(n % 2)];
+      if (submit(in, to, it, 1) == 202) accepted += it.tokens();
+      pause_for(pause_s);
+    }
+  };
+  auto [status, sent] =
+      submit_at_wake(in, *in.daemons[0], last, frozen_s, fill);
+  if (status == 202) accepted += last.tokens();
+  for (const auto& it : in.runners) {
+    if (it->finished() > 0) return could_not_run;
+  }
+  in.say("accepted " + std::to_string(accepted) + " tokens, limit " +
+         std::to_string(max_queued));
+  if (static_cast<double>(accepted) <=
+      static_cast<double>(max_queued) * (1 + quota_over)) {
+    in.say("RULE HELD: the accepted tokens are within the quota");
+    return rule_held;
+  }
+  in.say("RULE BROKEN (QUOTA)");
+  return rule_broken;
+}
+
+int run(const std::string& name, scene& in) {
+  if (name == "listing") return listing_after_outage(in);
+  if (name == "route") return route_removed(in);
+  if (name == "dead") return dead_too_early(in);
+  if (name == "quota") return quota_after_freeze(in);
+  std::cerr << "no case " << name << '\n';
+  return could_not_run;
+}
+
+}  // namespace
+}  // namespace review
+
+int main(int argc, char** argv) {
+  if (argc != 3) {
+    std::cerr << "usage: cases CASE RECORD\n";
+    return review::could_not_run;
+  }
+  const char* trouble = std::getenv("TROUBLE");
+  auto with_trouble = trouble == nullptr || std::string(trouble) != "0";
+  auto code = review::could_not_run;
+  try {
+    // Threads of the stand-ins use it until the process ends.
+    auto* in = new review::scene(argv[2], with_trouble);
+    code = review::run(argv[1], *in);
+    in->say("exit " + std::to_string(code));
+    in->close();
+  } catch (const std::exception& it) {
+    std::cerr << it.what() << '\n';
+  }
+  std::_Exit(code);
+}
--- /dev/null
+++ b/review/standins/json.cc
@@ -0,0 +1,2 @@
+// The sources of Boost.JSON, so that nothing has to be linked.
+#include <boost/json/src.hpp>
