Show that a request for other weights takes runners out of use for good

Case 1 of the review: a 421 for the weights' version is taken for a replaced runner; a job that is accepted afterwards is never run. Older cases move up by one.

--- a/review/standins/cases.cc
+++ b/review/standins/cases.cc
@@ -110,6 +110,57 @@
   return judge_listed(in, it);
 }
 
+/// Sends an online request.
+/// \return the status; 0 for no complete answer.
+int ask(scene& in, const front& to, const std::string& id,
+        const std::string& weights) {
+  constexpr double timeout_s = 6;
+  auto headers = header_list{{"Host", host},
+                             {"Fulmarpitch-Attempt-Id", id},
+                             {"Fulmarpitch-Model", "m"},
+                             {"Fulmarpitch-Token-Count", "450,25"},
+                             {"Fulmarpitch-Prompt-Prefix", "9c2e41:300," + id},
+                             {"Fulmarpitch-Deadline-Ms", "5000"}};
+  if (!weights.empty())
+    headers.emplace_back("Fulmarpitch-Expect-Version", weights);
+  auto got = call(to.client_address(), "POST", "/lohu930/" + id, headers,
+                  "body of " + id, timeout_s);
+  auto status = got.complete ? got.status : 0;
+  in.say("client: request " + id + " at " + to.name() +
+         (weights.empty() ? "" : ", which expects weights " + weights) +
+         ", got " + std::to_string(status));
+  return status;
+}
+
+/// Clients that expect other weights than the runners have ask a few times;
+/// then others hand in a job.
+int other_weights(scene& in) {
+  constexpr auto requests = 3;
+  constexpr std::size_t items = 20;
+  in.configure(1, batch_route());
+  add_runners(in, 4, {.events = 25});
+  in.add_daemon("front-1", "zone-a");
+  in.add_daemon("front-2", "zone-a");
+  if (!in.start()) return could_not_run;
+  for (auto n = 0; n < requests; ++n) {
+    for (const auto& to : in.daemons) {
+      auto id = "e" + std::to_string(n) + to->name().substr(6);
+      ask(in, *to, id, in.trouble ? "2" : "1");
+      pause_for(0.2);
+    }
+  }
+  // Sound requests, long after.
+  pause_for(5);
+  for (const auto& to : in.daemons)
+    ask(in, *to, "f" + to->name().substr(6), "");
+  auto it = make_job("7c41e09b52d6a3f8", items, 940);
+  if (submit(in, *in.daemons[0], it, 2) != 202) return could_not_run;
+  auto code = judge_listed(in, it);
+  for (const auto& to : in.daemons)
+    ask(in, *to, "g" + to->name().substr(6), "");
+  return code;
+}
+
 /// Freezes a daemon, hands in a job just before it wakes, and thaws it.
 /// \return the status of the submission, and when it was sent.
 std::pair<int, double> submit_at_wake(scene& in, const front& to, const job& it,
@@ -212,6 +263,7 @@
 }
 
 int run(const std::string& name, scene& in) {
+  if (name == "weights") return other_weights(in);
   if (name == "listing") return listing_after_outage(in);
   if (name == "route") return route_removed(in);
   if (name == "dead") return dead_too_early(in);
--- a/review/standins/platform.cc
+++ b/review/standins/platform.cc
@@ -356,6 +356,13 @@
     return to.respond(421, own, "");
   }
   own.emplace_back("Fulmarpitch-Not-Run", "1");
+  auto wanted = in.header("fulmarpitch-expect-version");
+  if (!wanted.empty() && wanted != std::to_string(options_.weights)) {
+    log_.add("runner " + options_.id + ": refuses " + id +
+             " with 421, as its weights have another version");
+    own.emplace_back("Fulmarpitch-Instance-Id", options_.id);
+    return to.respond(421, own, "");
+  }
   if (id.empty()) return to.respond(400, own, "");
   {
     auto guard = std::lock_guard(lock_);
@@ -392,8 +399,9 @@
   auto sent = to.send(
       "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
       "Transfer-Encoding: chunked\r\nFulmarpitch-Server-Stamp: stamp-" +
-      options_.id + "\r\nFulmarpitch-Weight-Versions: 1\r\n" +
-      "Fulmarpitch-Attempt-Id: " + id + "\r\n\r\n");
+      options_.id +
+      "\r\nFulmarpitch-Weight-Versions: " + std::to_string(options_.weights) +
+      "\r\n" + "Fulmarpitch-Attempt-Id: " + id + "\r\n\r\n");
   auto next = seconds();
   for (auto it = last + 1; sent && it <= options_.events; ++it) {
     next += options_.event_s;
--- a/review/standins/platform.h
+++ b/review/standins/platform.h
@@ -88,6 +88,8 @@
   std::uint32_t events = 40;
   double event_s = 0.02;
   std::uint32_t data_bytes = 8;
+  /// Version of the weights.
+  std::uint32_t weights = 1;
 };
 
 /// A model runner. Each event's data is the request's id, a colon and the
