--- a/review/standins/cases.cc
+++ b/review/standins/cases.cc
@@ -67,6 +67,28 @@
   return rule_broken;
 }
 
+/// Sends an online request.
+/// \return the status; 0 for no complete answer.
+int ask(scene& in, const front& to, const std::string& id,
+        const std::string& weights) {
+  constexpr double timeout_s = 6;
+  auto headers = header_list{{"Host", host},
+                             {"Fulmarpitch-Attempt-Id", id},
+                             {"Fulmarpitch-Model", "m"},
+                             {"Fulmarpitch-Token-Count", "450,25"},
+                             {"Fulmarpitch-Prompt-Prefix", "9c2e41:300," + id},
+                             {"Fulmarpitch-Deadline-Ms", "5000"}};
+  if (!weights.empty())
+    headers.emplace_back("Fulmarpitch-Expect-Version", weights);
+  auto got = call(to.client_address(), "POST", "/lohu930/" + id, headers,
+                  "body of " + id, timeout_s);
+  auto status = got.complete ? got.status : 0;
+  in.say("client: request " + id + " at " + to.name() +
+         (weights.empty() ? "" : ", which expects weights " + weights) +
+         ", got " + std::to_string(status));
+  return status;
+}
+
 void add_runners(scene& in, std::uint32_t count, const runner_options& each) {
   for (auto n = std::uint32_t{1}; n <= count; ++n) {
     auto options = each;
@@ -93,6 +115,51 @@
   return judge_listed(in, it);
 }
 
+/// One item of a job takes five times as long as the others.
+int long_item(scene& in) {
+  constexpr std::size_t items = 10;
+  constexpr std::uint32_t times = 5;
+  in.configure(1, batch_route());
+  auto each = runner_options{.events = 172, .data_bytes = 65};
+  if (in.trouble) {
+    each.long_suffix = "-0";
+    each.long_times = times;
+  }
+  add_runners(in, 2, each);
+  in.add_daemon("front-1", "zone-a");
+  in.add_daemon("front-2", "zone-a");
+  if (!in.start()) return could_not_run;
+  auto it = make_job("7c41e09b52d6a3f8", items, 940);
+  if (submit(in, *in.daemons[0], it, 2) != 202) return could_not_run;
+  // No run may take longer than this before `finishS` begins.
+  constexpr double run_s = 20;
+  pause_for(run_s);
+  return judge_listed(in, it);
+}
+
+/// The only daemon of the runners' zone is lost for good.
+int zone_without_daemons(scene& in) {
+  constexpr std::size_t items = 20;
+  in.configure(1, batch_route());
+  add_runners(in, 2, {.events = 60});
+  in.add_daemon("front-1", "zone-a");
+  in.add_daemon("front-2", "zone-b");
+  if (!in.start()) return could_not_run;
+  auto it = make_job("7c41e09b52d6a3f8", items, 940);
+  if (submit(in, *in.daemons[0], it, 2) != 202) return could_not_run;
+  pause_for(0.5);
+  if (in.trouble) {
+    in.say("SIGKILL to front-1, for good");
+    in.daemons[0]->end();
+    in.daemons.erase(in.daemons.begin());
+  }
+  // The longest that a lost owner may take to be noticed, several times over.
+  constexpr double settle_s = 20;
+  pause_for(settle_s);
+  ask(in, *in.daemons.back(), "f1", "");
+  return judge_listed(in, it);
+}
+
 /// The operator removes the batch route while a job is open.
 int route_removed(scene& in) {
   constexpr std::size_t items = 60;
@@ -110,28 +177,6 @@
   return judge_listed(in, it);
 }
 
-/// Sends an online request.
-/// \return the status; 0 for no complete answer.
-int ask(scene& in, const front& to, const std::string& id,
-        const std::string& weights) {
-  constexpr double timeout_s = 6;
-  auto headers = header_list{{"Host", host},
-                             {"Fulmarpitch-Attempt-Id", id},
-                             {"Fulmarpitch-Model", "m"},
-                             {"Fulmarpitch-Token-Count", "450,25"},
-                             {"Fulmarpitch-Prompt-Prefix", "9c2e41:300," + id},
-                             {"Fulmarpitch-Deadline-Ms", "5000"}};
-  if (!weights.empty())
-    headers.emplace_back("Fulmarpitch-Expect-Version", weights);
-  auto got = call(to.client_address(), "POST", "/lohu930/" + id, headers,
-                  "body of " + id, timeout_s);
-  auto status = got.complete ? got.status : 0;
-  in.say("client: request " + id + " at " + to.name() +
-         (weights.empty() ? "" : ", which expects weights " + weights) +
-         ", got " + std::to_string(status));
-  return status;
-}
-
 /// Clients that expect other weights than the runners have ask a few times;
 /// then others hand in a job.
 int other_weights(scene& in) {
@@ -265,6 +310,8 @@
 int run(const std::string& name, scene& in) {
   if (name == "weights") return other_weights(in);
   if (name == "listing") return listing_after_outage(in);
+  if (name == "long") return long_item(in);
+  if (name == "zone") return zone_without_daemons(in);
   if (name == "route") return route_removed(in);
   if (name == "dead") return dead_too_early(in);
   if (name == "quota") return quota_after_freeze(in);
--- a/review/standins/platform.cc
+++ b/review/standins/platform.cc
@@ -402,8 +402,11 @@
       options_.id +
       "\r\nFulmarpitch-Weight-Versions: " + std::to_string(options_.weights) +
       "\r\n" + "Fulmarpitch-Attempt-Id: " + id + "\r\n\r\n");
+  auto is_long =
+      !options_.long_suffix.empty() && id.ends_with(options_.long_suffix);
+  auto events = options_.events * (is_long ? options_.long_times : 1);
   auto next = seconds();
-  for (auto it = last + 1; sent && it <= options_.events; ++it) {
+  for (auto it = last + 1; sent && it <= events; ++it) {
     next += options_.event_s;
     pause_for(std::max(0.0, next - seconds()));
     if (to.is_closed()) return false;
--- a/review/standins/platform.h
+++ b/review/standins/platform.h
@@ -88,6 +88,9 @@
   std::uint32_t events = 40;
   double event_s = 0.02;
   std::uint32_t data_bytes = 8;
+  /// Requests whose id ends so make `long_times` as many events.
+  std::string long_suffix = {};
+  std::uint32_t long_times = 1;
   /// Version of the weights.
   std::uint32_t weights = 1;
 };
