--- a/review/standins/cases.cc
+++ b/review/standins/cases.cc
@@ -52,6 +52,9 @@
            " of " + std::to_string(it.items.size()) + " results");
   }
   auto idle = seconds() - idle_since;
+  finished = 0;
+  for (const auto& target : in.runners)
+    finished += target->finished();
   in.say("runners finished " + std::to_string(finished) +
          " runs; idle for the last " + std::to_string(idle) + " s");
   if (missing == 0) {
@@ -160,21 +163,43 @@
   return judge_listed(in, it);
 }
 
-/// The operator removes the batch route while a job is open.
+/// The operator removes one of two batch routes while it has open jobs; then a
+/// client hands in a job on the other route.
 int route_removed(scene& in) {
   constexpr std::size_t items = 60;
-  in.configure(1, batch_route());
-  add_runners(in, 2, {.events = 100});
+  constexpr std::size_t other_items = 120;
+  constexpr double apart_s = 1;
+  in.configure(1, batch_route(), true);
+  add_runners(in, 2, {.events = 60});
   in.add_daemon("front-1", "zone-a");
   in.add_daemon("front-2", "zone-a");
   if (!in.start()) return could_not_run;
-  auto it = make_job("7c41e09b52d6a3f8", items, 940);
-  if (submit(in, *in.daemons[0], it, 2) != 202) return could_not_run;
-  pause_for(1);
-  in.configure(3, in.trouble ? std::nullopt : std::optional(batch_route()));
-  constexpr double settle_s = 6;
-  pause_for(settle_s);
-  return judge_listed(in, it);
+  auto first = make_job("b1c4", items, 940);
+  auto second = make_job("b2f9", items, 940);
+  for (auto* it : {&first, &second})
+    it->prefix = second_prefix;
+  if (submit(in, *in.daemons[0], first, 2) != 202) return could_not_run;
+  if (submit(in, *in.daemons[1], second, 2) != 202) return could_not_run;
+  pause_for(apart_s);
+  in.configure(3, batch_route(), !in.trouble);
+  constexpr double apply_s = 3;
+  pause_for(apply_s);
+  auto other = make_job("7c41e09b52d6a3f8", other_items, 940);
+  if (submit(in, *in.daemons[0], other, 2) != 202) return could_not_run;
+  // More than all of its items need on idle runners, and its `dueMs`.
+  constexpr double work_s = 20;
+  pause_for(work_s);
+  auto code = judge_listed(in, other);
+  for (const auto* it : {&first, &second}) {
+    auto all = read_all(*in.daemons[0], *it);
+    if (all) {
+      in.say("client: of " + it->id + ", whose route " +
+             (in.trouble ? "is gone, " : "stands, ") +
+             std::to_string(all->size()) + " of " +
+             std::to_string(it->items.size()) + " results are listed");
+    }
+  }
+  return code;
 }
 
 /// Clients that expect other weights than the runners have ask a few times;
--- a/review/standins/scene.cc
+++ b/review/standins/scene.cc
@@ -66,7 +66,8 @@
   return true;
 }
 
-void scene::configure(std::uint64_t version, std::optional<batch_route> batch) {
+void scene::configure(std::uint64_t version, const batch_route& batch,
+                      bool with_second) {
   auto routes = json::array();
   routes.push_back({{"name", "r-a3hwrr6"},
                     {"host", host},
@@ -80,10 +81,10 @@
                     {"sticky", true},
                     {"resumable", false},
                     {"gapAimMs", 250}});
-  if (batch) {
-    routes.push_back({{"name", "r-k20xwe1"},
+  auto add_batch = [&](const char* name, const char* prefix) {
+    routes.push_back({{"name", name},
                       {"host", host},
-                      {"pathPrefix", batch_prefix},
+                      {"pathPrefix", prefix},
                       {"kind", "batch"},
                       {"timeoutMs", 15000},
                       {"goalMs", 500},
@@ -93,10 +94,12 @@
                       {"sticky", true},
                       {"resumable", true},
                       {"gapAimMs", 250},
-                      {"dueMs", batch->due_ms},
-                      {"maxWaitS", batch->max_wait_s},
-                      {"maxQueued", batch->max_queued}});
-  }
+                      {"dueMs", batch.due_ms},
+                      {"maxWaitS", batch.max_wait_s},
+                      {"maxQueued", batch.max_queued}});
+  };
+  add_batch("r-k20xwe1", batch_prefix);
+  if (with_second) add_batch("r-p7d31uo", second_prefix);
   auto services = json::array();
   services.push_back(
       {{"name", "s"}, {"healthPath", "/healthz"}, {"maxConns", 210}});
@@ -110,7 +113,8 @@
                                           {"headerTimeoutMs", 3000},
                                           {"idleTimeoutMs", 15000}}}}));
   say("operator: configuration " + std::to_string(version) +
-      (batch ? "" : ", without the batch route"));
+      " with batch route " + batch_prefix +
+      (with_second ? std::string(" and ") + second_prefix : ""));
 }
 
 bool scene::all_alive() {
@@ -134,7 +138,7 @@
   auto list = json::array();
   for (const auto& id : it.items) {
     list.push_back({{"id", id},
-                    {"path", std::string(batch_prefix) + id},
+                    {"path", it.prefix + id},
                     {"headers",
                      {{"Fulmarpitch-Model", "m"},
                       {"Fulmarpitch-Token-Count", "540,400"},
@@ -144,12 +148,12 @@
   }
   in.say("client: hands in " + it.id + ", " + std::to_string(it.items.size()) +
          " items, " + std::to_string(it.tokens()) + " tokens, at " + to.name());
-  auto got = call(
-      to.client_address(), "POST", std::string(batch_prefix) + it.id,
-      {{"Host", host},
-       {"Fulmarpitch-Attempt-Id", it.id},
-       {"Content-Type", "application/json"}},
-      json::serialize(json::object{{"requests", std::move(list)}}), timeout_s);
+  auto got = call(to.client_address(), "POST", it.prefix + it.id,
+                  {{"Host", host},
+                   {"Fulmarpitch-Attempt-Id", it.id},
+                   {"Content-Type", "application/json"}},
+                  json::serialize(json::object{{"requests", std::move(list)}}),
+                  timeout_s);
   auto status = got.complete ? got.status : 0;
   in.say("client: " + it.id + " at " + to.name() + " got " +
          std::to_string(status));
--- a/review/standins/scene.h
+++ b/review/standins/scene.h
@@ -16,6 +16,7 @@
 
 inline constexpr auto host = "nony24.example";
 inline constexpr auto batch_prefix = "/pule252/";
+inline constexpr auto second_prefix = "/sive408/";
 
 /// Exit codes of a case.
 inline constexpr int rule_held = 0;
@@ -43,8 +44,10 @@
   /// Starts all daemons and waits until they are ready.
   bool start();
   /// Writes a configuration as the operator does.
-  /// \param batch the batch route; nothing for a version without it.
-  void configure(std::uint64_t version, std::optional<batch_route> batch);
+  /// \param batch what the batch routes have.
+  /// \param with_second whether there is a second batch route.
+  void configure(std::uint64_t version, const batch_route& batch,
+                 bool with_second = false);
   /// \return whether all daemons still run.
   bool all_alive();
   void say(const std::string& line) { log.add(line); }
@@ -62,6 +65,7 @@
   std::string id;
   std::vector<std::string> items;
   std::uint64_t tokens_each = 1000;
+  std::string prefix = batch_prefix;
   std::uint64_t tokens() const { return tokens_each * items.size(); }
 };
 
