--- a/review/standins/cases.cc
+++ b/review/standins/cases.cc
@@ -202,6 +202,35 @@
   return code;
 }
 
+/// Two jobs whose items are larger than any runner's memory are open; then a
+/// client hands in a job of ordinary items.
+int too_large(scene& in) {
+  constexpr std::size_t items = 24;
+  constexpr std::size_t other_items = 150;
+  in.configure(1, batch_route());
+  auto each = runner_options{.events = 60};
+  if (in.trouble) each.too_large = "large";
+  add_runners(in, 2, each);
+  in.add_daemon("front-1", "zone-a");
+  in.add_daemon("front-2", "zone-a");
+  if (!in.start()) return could_not_run;
+  for (auto n = std::size_t{0}; n < in.daemons.size(); ++n) {
+    auto it = make_job("large" + std::to_string(n), items, 940);
+    if (submit(in, *in.daemons[n], it, 2) != 202) return could_not_run;
+  }
+  pause_for(1);
+  auto other = make_job("7c41e09b52d6a3f8", other_items, 940);
+  if (submit(in, *in.daemons[0], other, 2) != 202) return could_not_run;
+  constexpr double work_s = 20;
+  pause_for(work_s);
+  auto code = judge_listed(in, other);
+  auto refused = std::uint32_t{0};
+  for (const auto& it : in.runners)
+    refused += it->refused();
+  in.say("runners refused " + std::to_string(refused) + " too large requests");
+  return code;
+}
+
 /// Clients that expect other weights than the runners have ask a few times;
 /// then others hand in a job.
 int other_weights(scene& in) {
@@ -336,6 +365,7 @@
   if (name == "weights") return other_weights(in);
   if (name == "listing") return listing_after_outage(in);
   if (name == "long") return long_item(in);
+  if (name == "large") return too_large(in);
   if (name == "zone") return zone_without_daemons(in);
   if (name == "route") return route_removed(in);
   if (name == "dead") return dead_too_early(in);
--- a/review/standins/platform.cc
+++ b/review/standins/platform.cc
@@ -364,6 +364,10 @@
     return to.respond(421, own, "");
   }
   if (id.empty()) return to.respond(400, own, "");
+  auto large = !options_.too_large.empty() &&
+               in.target.find(options_.too_large) != std::string::npos;
+  if (large) ++refused_;
+  if (large) return to.respond(503, own, "");
   {
     auto guard = std::lock_guard(lock_);
     if (running_ >= options_.slots && waiting_ >= options_.queue)
--- a/review/standins/platform.h
+++ b/review/standins/platform.h
@@ -88,6 +88,8 @@
   std::uint32_t events = 40;
   double event_s = 0.02;
   std::uint32_t data_bytes = 8;
+  /// Requests whose path holds this are larger than the runner's memory.
+  std::string too_large = {};
   /// Requests whose id ends so make `long_times` as many events.
   std::string long_suffix = {};
   std::uint32_t long_times = 1;
@@ -103,6 +105,8 @@
   /// Whether a request has run to its end here.
   std::uint32_t finished() const { return finished_; }
   std::uint32_t running() const { return running_; }
+  /// How often it refused a request that is too large.
+  std::uint32_t refused() const { return refused_; }
   /// Writes the entry in the store once more.
   void beat();
 
@@ -120,6 +124,7 @@
   std::uint32_t waiting_ = 0;
   std::atomic<std::uint32_t> running_ = 0;
   std::atomic<std::uint32_t> finished_ = 0;
+  std::atomic<std::uint32_t> refused_ = 0;
   std::uint64_t beats_ = 0;
 };
 
