--- a/review/standins/cases.cc
+++ b/review/standins/cases.cc
@@ -4,6 +4,7 @@
 
 #include <signal.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <exception>
 #include <iostream>
@@ -15,6 +16,9 @@
 
 constexpr double finish_s = 18;
 
+/// How long a runner may fail a part of its requests.
+constexpr double grey_s = 6.5;
+
 /// Waits for a job's results for `finishS`, then judges LOST: an item that is
 /// listed neither as done nor as dead, though nothing runs any more.
 int judge_listed(scene& in, const job& it) {
@@ -231,6 +235,94 @@
   return code;
 }
 
+/// Requests crash each runner that runs them; one runner of seven fails every
+/// second of its requests with 500, whatever they are, for a few seconds.
+int crashing_request(scene& in) {
+  constexpr auto prefix = "/lohu930/crash-";
+  constexpr std::size_t contents = 8;
+  constexpr double contact_s = 4;
+  constexpr std::size_t known_after = 3;
+  constexpr std::size_t most_retries = 3;
+  constexpr double sending_s = 15;
+  in.configure(1, batch_route());
+  for (auto n = 1; n <= 7; ++n) {
+    auto options = runner_options{.events = 25, .crashing_prefix = prefix};
+    options.id = "i-" + std::to_string(n);
+    options.fails_every_second = in.trouble && n == 1;
+    in.add_runner(options);
+  }
+  in.add_daemon("front-1", "zone-a");
+  in.add_daemon("front-2", "zone-a");
+  if (!in.start()) return could_not_run;
+  auto number = std::size_t{0};
+  auto send = [&](const std::string& path) {
+    auto id = "c" + std::to_string(++number);
+    auto& to = *in.daemons[number % in.daemons.size()];
+    auto got = call(to.client_address(), "POST", path,
+                    {{"Host", host},
+                     {"Fulmarpitch-Attempt-Id", id},
+                     {"Fulmarpitch-Model", "m"},
+                     {"Fulmarpitch-Token-Count", "450,25"},
+                     {"Fulmarpitch-Prompt-Prefix", "77:5"},
+                     {"Fulmarpitch-Deadline-Ms", "5000"}},
+                    "the same body", 6);
+    auto status = got.complete ? got.status : 0;
+    in.say("client: request " + id + " for " + path + " at " + to.name() +
+           " got " + std::to_string(status));
+    pause_for(0.1);
+    return status;
+  };
+  // Each content is sent until it is held back; all come again until the end.
+  auto next_grey = seconds();
+  for (auto n = std::size_t{0}; n < contents; ++n) {
+    if (seconds() >= next_grey) {
+      for (auto& it : in.runners)
+        it->fail_until(seconds() + grey_s);
+      next_grey = seconds() + 2 * grey_s;
+    }
+    auto path = prefix + std::to_string(n);
+    for (auto tries = 0; tries < 8 && send(path) != 503; ++tries) {
+    }
+    pause_for(1.6);
+  }
+  pause_for(contact_s);
+  auto until = seconds() + sending_s;
+  for (auto n = std::size_t{0}; seconds() < until; ++n)
+    send(prefix + std::to_string(n / in.daemons.size() % contents));
+  if (!in.all_alive()) return could_not_run;
+  auto most_late = std::size_t{0};
+  auto known = false;
+  for (auto n = std::size_t{0}; n < contents; ++n) {
+    auto path = prefix + std::to_string(n);
+    auto crashes = std::vector<double>();
+    auto runs = std::vector<double>();
+    for (const auto& it : in.runners) {
+      for (const auto& run : it->crashing_runs()) {
+        if (run.path != path) continue;
+        runs.push_back(run.at);
+        if (run.crashed) crashes.push_back(run.at);
+      }
+    }
+    std::sort(crashes.begin(), crashes.end());
+    if (crashes.size() < known_after) continue;
+    known = true;
+    auto from = crashes[known_after - 1] + contact_s;
+    auto late = static_cast<std::size_t>(std::count_if(
+        runs.begin(), runs.end(), [&](double at) { return at > from; }));
+    most_late = std::max(most_late, late);
+    in.say(path + " crashed " + std::to_string(crashes.size()) +
+           " runners and reached runners " + std::to_string(late) +
+           " times later than contactMs after the third crash");
+  }
+  if (!known) return could_not_run;
+  if (most_late <= most_retries) {
+    in.say("RULE HELD");
+    return rule_held;
+  }
+  in.say("RULE BROKEN (BUDGET)");
+  return rule_broken;
+}
+
 /// Clients that expect other weights than the runners have ask a few times;
 /// then others hand in a job.
 int other_weights(scene& in) {
@@ -366,6 +458,7 @@
   if (name == "listing") return listing_after_outage(in);
   if (name == "long") return long_item(in);
   if (name == "large") return too_large(in);
+  if (name == "crash") return crashing_request(in);
   if (name == "zone") return zone_without_daemons(in);
   if (name == "route") return route_removed(in);
   if (name == "dead") return dead_too_early(in);
--- a/review/standins/platform.cc
+++ b/review/standins/platform.cc
@@ -329,7 +329,9 @@
 }
 
 void runner::beat() {
-  static const auto born = unix_ms();
+  if (away_) return;
+  static const auto started = unix_ms();
+  auto born = started + std::uint64_t{1000} * life_;
   store_.put(
       "servers", options_.id,
       json::serialize(json::object{
@@ -348,7 +350,33 @@
           {"seq", ++beats_}}));
 }
 
+std::vector<runner::crashing_run> runner::crashing_runs() {
+  auto guard = std::lock_guard(lock_);
+  return crashing_runs_;
+}
+
+/// Ends all that runs here and is away for a while; then it starts again.
+void runner::crash() {
+  {
+    auto guard = std::lock_guard(lock_);
+    if (away_) return;
+    away_ = true;
+  }
+  ++life_;
+  log_.add("runner " + options_.id + ": crashes");
+  std::thread([this] {
+    pause_for(options_.away_s);
+    away_ = false;
+    log_.add("runner " + options_.id + ": is back");
+    beat();
+  }).detach();
+}
+
 bool runner::take(const request& in, connection& to) {
+  if (away_) {
+    to.reset();
+    return false;
+  }
   auto id = in.header("fulmarpitch-attempt-id");
   auto own = header_list{{"Fulmarpitch-Attempt-Id", id}};
   if (in.header("fulmarpitch-expect-instance") != options_.id) {
@@ -374,7 +402,32 @@
       return to.respond(503, own, "");
   }
   if (!wait_for_slot(to)) return false;
-  auto kept = stream(in, to);
+  auto life = life_.load();
+  auto crashing = !options_.crashing_prefix.empty() &&
+                  in.path().starts_with(options_.crashing_prefix);
+  auto fails = options_.fails_every_second && seconds() < fails_until_ &&
+               starts_++ % 2 == 0;
+  if (crashing) {
+    auto guard = std::lock_guard(lock_);
+    crashing_runs_.push_back(
+        {.at = seconds(), .path = in.path(), .crashed = !fails});
+  }
+  auto kept = false;
+  if (fails) {
+    log_.add("runner " + options_.id + ": fails " + id + " with 500");
+    kept = to.respond(500,
+                      {{"Fulmarpitch-Attempt-Id", id},
+                       {"Fulmarpitch-Server-Stamp", "stamp-" + options_.id}},
+                      "failed");
+  } else if (crashing) {
+    crash();
+  } else {
+    kept = stream(in, to);
+  }
+  if (life_ != life) {
+    to.reset();
+    kept = false;
+  }
   --running_;
   freed_.notify_one();
   return kept;
@@ -413,7 +466,7 @@
   for (auto it = last + 1; sent && it <= events; ++it) {
     next += options_.event_s;
     pause_for(std::max(0.0, next - seconds()));
-    if (to.is_closed()) return false;
+    if (to.is_closed() || away_) return false;
     sent = to.send(chunk_of("id: " + std::to_string(it) +
                             "\ndata: " + data_of(options_, id, it) + "\n\n"));
   }
--- a/review/standins/platform.h
+++ b/review/standins/platform.h
@@ -93,6 +93,12 @@
   /// Requests whose id ends so make `long_times` as many events.
   std::string long_suffix = {};
   std::uint32_t long_times = 1;
+  /// A request whose path begins so crashes the runner, which is away for a
+  /// while.
+  std::string crashing_prefix = {};
+  double away_s = 1.5;
+  /// For a time it fails every second request with 500, whatever it is.
+  bool fails_every_second = false;
   /// Version of the weights.
   std::uint32_t weights = 1;
 };
@@ -105,6 +111,15 @@
   /// Whether a request has run to its end here.
   std::uint32_t finished() const { return finished_; }
   std::uint32_t running() const { return running_; }
+  struct crashing_run {
+    double at = 0;
+    std::string path;
+    bool crashed = false;
+  };
+  /// The requests that crash runners which it began to run.
+  std::vector<crashing_run> crashing_runs();
+  /// Until when it fails requests.
+  void fail_until(double at) { fails_until_ = at; }
   /// How often it refused a request that is too large.
   std::uint32_t refused() const { return refused_; }
   /// Writes the entry in the store once more.
@@ -112,6 +127,7 @@
 
  private:
   bool take(const request& in, connection& to);
+  void crash();
   bool wait_for_slot(const connection& to);
   bool stream(const request& in, connection& to);
 
@@ -125,7 +141,12 @@
   std::atomic<std::uint32_t> running_ = 0;
   std::atomic<std::uint32_t> finished_ = 0;
   std::atomic<std::uint32_t> refused_ = 0;
+  std::atomic<std::uint32_t> starts_ = 0;
+  std::atomic<std::uint32_t> life_ = 0;
+  std::atomic<bool> away_ = false;
   std::uint64_t beats_ = 0;
+  std::vector<crashing_run> crashing_runs_;
+  std::atomic<double> fails_until_ = 0;
 };
 
 /// \return what a sound runner makes of an item: the data of all events.
