Run items where targets have no daemons left

Cause: what daemons of another data centre have at targets is known from their summaries alone. Without a current one `place_batch` reserved every slot, for ever. Besides, items leave the owner's data centre only when they are urgent, which those of a route without a due time never are.

Change: a data centre without a summary for 8 s is abandoned. Its daemons may live and be cut off from this one only, so its targets are asked for their load while items find no room; a target that states none gets items on a quarter of its slots. Items of a service without a target in the owner's data centre go elsewhere at once.

--- a/include/fulmarpitch/serving/load-board.h
+++ b/include/fulmarpitch/serving/load-board.h
@@ -78,6 +78,26 @@
   bool wants_reply = false;
 };
 
+/// What a target answered when it was asked for its load.
+struct target_answer {
+  /// Requests there that no report covers; empty if the target does not state
+  /// its load.
+  std::optional<std::uint32_t> unreported;
+  /// Arrival time on the steady clock.
+  instant heard{};
+};
+
+/// What is known of the requests that a data centre's daemons have at targets.
+enum class load_knowledge {
+  /// Current reports cover them.
+  reported,
+  /// Reports have stopped or not begun: they may be anything.
+  unreported,
+  /// There have been no reports for so long that the daemons count as lost,
+  /// though they may only be cut off from this one.
+  abandoned,
+};
+
 /// The last report of another daemon.
 struct member_row {
   load_report report;
@@ -112,6 +132,8 @@
   /// A data centre without a summary for longer than this is considered lost.
   /// Exceeds the time for another member to take over as the gatherer.
   instant data_centre_expiry = std::chrono::milliseconds(5000);
+  /// Age after which a target's own answer is ignored.
+  instant answer_expiry = std::chrono::milliseconds(2500);
 };
 
 /// This daemon's loads and those of the others.
@@ -122,6 +144,10 @@
   absl::flat_hash_map<std::string, member_row> members;
   /// Other data centres by name.
   absl::flat_hash_map<std::string, summary_row> summaries;
+  /// Answers of targets that were asked for their load, by key.
+  absl::flat_hash_map<std::uint64_t, target_answer> answers;
+  /// When this daemon began to listen, on the steady clock.
+  instant began{};
   board_options options;
 };
 
@@ -205,10 +231,23 @@
 /// \return 1 when the reports of all daemons are current.
 double heard_share(const load_board& board, instant now);
 
-/// \return whether the loads of a data centre are known: its own, or one whose
-///     last summary still counts.
-bool knows_loads(const load_board& board, const std::string& data_centre,
-                 instant now);
+/// Tells whether reports cover what a data centre's daemons have at targets.
+/// A data centre that never sent a summary counts as silent since this daemon
+/// began to listen.
+/// \param now current time on the steady clock.
+load_knowledge load_knowledge_of(const load_board& board,
+                                 const std::string& data_centre, instant now);
+
+/// \return a target's own answer, unless it is too old; null if there is none.
+const target_answer* answer_of(const load_board& board, std::uint64_t target,
+                               instant now);
+
+/// Adds to the load of a target in an abandoned data centre what the target
+/// answered, as online requests. Until it answers, its load is unknown.
+/// \param now current time on the steady clock.
+/// \return what is known of the load then.
+load_knowledge apply_answer(const load_board& board, std::uint64_t target,
+                            target_load& load, instant now);
 
 /// \return the age of the oldest report that counts towards loads.
 instant oldest_report(const load_board& board, instant now);
@@ -221,7 +260,7 @@
                                       instant now);
 
 /// Removes members and data centres that were silent for ten times the member
-/// expiry.
+/// expiry, and outdated answers of targets.
 void drop_silent_members(load_board& board, instant now);
 
 /// Returns how many batch requests this daemon should preempt at a target to
--- a/include/fulmarpitch/serving/placement.h
+++ b/include/fulmarpitch/serving/placement.h
@@ -26,9 +26,8 @@
   distance away = distance::data_centre;
   /// Work that it may be given, by its recent behaviour.
   trust trusted = trust::full;
-  /// Current reports cover its load; otherwise other daemons may use it
-  /// without being accounted for.
-  bool load_known = true;
+  /// Whether the load includes the requests of the daemons in its data centre.
+  load_knowledge knowledge = load_knowledge::reported;
   /// Requests of this daemon queue there, although reports may show free slots.
   bool found_full = false;
   /// A connection to it is open and idle.
@@ -137,7 +136,8 @@
 };
 
 /// Places a batch item on a slot that is free beyond the reserve, preferably in
-/// the own data centre.
+/// the own data centre. Of a target elsewhere whose daemons no longer report,
+/// batch uses few slots, as they may serve online requests there unseen.
 /// \param among the targets of its service that accept work.
 /// \param reserve slots to leave free.
 std::optional<std::size_t> place_batch(std::span<const candidate> among,
--- a/src/serving/daemon.cc
+++ b/src/serving/daemon.cc
@@ -120,6 +120,7 @@
     }
     in.last_tick = now;
     in.target_links.links().close_expired(now);
+    in.probe_links.links().close_expired(now);
     in.store_links.links().close_expired(now);
     in.daemon_links.links().close_expired(now);
     detect_silent_targets(in, now, paused);
@@ -133,6 +134,7 @@
   in.loop.every(cleanup_period, [&in] {
     auto now = event_loop::steady();
     in.target_links.close_idle(now);
+    in.probe_links.close_idle(now);
     in.store_links.close_idle(now);
     in.daemon_links.close_idle(now);
     drop_silent_members(in.board, now);
--- a/src/serving/front.cc
+++ b/src/serving/front.cc
@@ -69,6 +69,7 @@
            .data_centre = settings.data_centre},
       slot_time(initial_slot_time),
       target_links(io, {}),
+      probe_links(io, {}),
       store_links(io, {.idle = std::chrono::seconds(30)}),
       daemon_links(io, {}),
       store(platform::connect_store(
@@ -76,6 +77,7 @@
       book_changed(io),
       log(event_log_options()) {
   board.data_centre = settings.data_centre;
+  board.began = began;
 }
 
 front::~front() = default;
@@ -133,12 +135,15 @@
     if (others.leaving) continue;
     auto load = target_load();
     if (auto it = loads.find(row.key); it != loads.end()) load = it->second;
+    auto knowledge = load_knowledge_of(in.board, listed.data_centre, now);
+    if (knowledge == load_knowledge::abandoned)
+      knowledge = apply_answer(in.board, row.key, load, now);
     out.candidates.push_back(
         {.load = load,
          .slots = listed.slots,
          .away = away,
          .trusted = trust_in(row, others, now),
-         .load_known = knows_loads(in.board, listed.data_centre, now),
+         .knowledge = knowledge,
          .found_full = full.contains(row.key),
          .linked = in.target_links.keeps_link(listed.address),
          .tie = mix_hash(row.key, salt)});
--- a/src/serving/front.h
+++ b/src/serving/front.h
@@ -139,6 +139,16 @@
   instant next_removal{};
 };
 
+/// Questions to targets for their load.
+struct load_probes {
+  /// When a target was last asked, on the steady clock, by its key.
+  absl::flat_hash_map<std::uint64_t, instant> asked;
+  /// Items found no room until then, on the steady clock.
+  instant wanted_until{};
+  /// Earliest time of the next question, on the steady clock.
+  instant next{};
+};
+
 /// The state of a daemon.
 struct front {
   front(event_loop& event_loop, vm_settings vm);
@@ -192,6 +202,10 @@
   begun_streams begun;
 
   link_pool target_links;
+  /// Connections on which targets are asked for their load only: a late answer
+  /// there is never taken for that of a request.
+  link_pool probe_links;
+  load_probes probes;
   link_pool store_links;
   /// Connections to other daemons, for forwarded calls.
   link_pool daemon_links;
@@ -366,6 +380,11 @@
 /// Preempts batch items where online requests need their slots, as judged by
 /// the load reports.
 void preempt_batch_items(front& in);
+/// Preempts the newest batch items at a target, which lose the least output.
+/// \param target the target's id.
+/// \param count the items to preempt; those that are ending already count.
+void preempt_newest_items(front& in, const std::string& target,
+                          std::uint32_t count);
 /// Preempts or withdraws batch items where this daemon's own requests wait,
 /// regardless of the load reports of other daemons.
 void preempt_for_waiting_requests(front& in, instant now);
--- a/src/serving/job-system.cc
+++ b/src/serving/job-system.cc
@@ -16,6 +16,7 @@
 #include "fulmarpitch/serving/job-takeover.h"
 #include "job-store.h"
 #include "job-writes.h"
+#include "load-probe.h"
 #include "platform/names.h"
 #include "reports.h"
 
@@ -287,9 +288,18 @@
   auto service = service_of(in, run.row, item.request);
   check_origin(in, item, service);
   auto found = targets_of(in, service, farthest);
-  if (keep_origin(in, item, found, reserve)) return item_start::postponed;
-  auto at = place_batch(found.candidates, reserve);
-  if (!at) return item_start::no_room;
+  auto used = reserve;
+  if (found.rows.empty()) {
+    // Without a target here, waiting for one gains nothing.
+    used.slots_per_reserved_away = slots_per_reserved_away;
+    found = targets_of(in, service);
+  }
+  if (keep_origin(in, item, found, used)) return item_start::postponed;
+  auto at = place_batch(found.candidates, used);
+  if (!at) {
+    if (used.slots_per_reserved_away > 0) want_probes(in, event_loop::steady());
+    return item_start::no_room;
+  }
   item.state = item_state::running;
   auto it = item_attempt{.job = ref.job,
                          .serial = run.serial,
@@ -480,6 +490,7 @@
   start_saves(in, now);
   // Late requests are online requests: batch does not start before them.
   if (!in.leaving && in.late_requests.waiting.empty()) start_items(in, now);
+  probe_targets(in, now);
 }
 
 }  // namespace fulmar::serving
--- a/src/serving/load-board.cc
+++ b/src/serving/load-board.cc
@@ -192,11 +192,35 @@
   return heard / all;
 }
 
-bool knows_loads(const load_board& board, const std::string& data_centre,
-                 instant now) {
-  if (data_centre == board.data_centre) return true;
+load_knowledge load_knowledge_of(const load_board& board,
+                                 const std::string& data_centre, instant now) {
+  if (data_centre == board.data_centre) return load_knowledge::reported;
   auto it = board.summaries.find(data_centre);
-  return it != board.summaries.end() && load_counts(board, it->second, now);
+  auto known = it != board.summaries.end();
+  if (known && load_counts(board, it->second, now))
+    return load_knowledge::reported;
+  auto silence = now - (known ? it->second.heard : board.began);
+  return silence <= board.options.max_remembered_silence
+             ? load_knowledge::unreported
+             : load_knowledge::abandoned;
+}
+
+const target_answer* answer_of(const load_board& board, std::uint64_t target,
+                               instant now) {
+  auto it = board.answers.find(target);
+  if (it == board.answers.end() ||
+      now - it->second.heard > board.options.answer_expiry)
+    return nullptr;
+  return &it->second;
+}
+
+load_knowledge apply_answer(const load_board& board, std::uint64_t target,
+                            target_load& load, instant now) {
+  const auto* answer = answer_of(board, target, now);
+  if (answer == nullptr) return load_knowledge::unreported;
+  if (!answer->unreported) return load_knowledge::abandoned;
+  load.online += *answer->unreported;
+  return load_knowledge::reported;
 }
 
 instant oldest_report(const load_board& board, instant now) {
@@ -273,6 +297,9 @@
   auto silent = [&](const auto& it) { return now - it.second.heard > limit; };
   absl::erase_if(board.members, silent);
   absl::erase_if(board.summaries, silent);
+  absl::erase_if(board.answers, [&](const auto& it) {
+    return now - it.second.heard > board.options.answer_expiry;
+  });
 }
 
 std::uint32_t batch_to_yield(const load_board& board, const std::string& self,
--- a/src/serving/placement.cc
+++ b/src/serving/placement.cc
@@ -41,12 +41,23 @@
   return it.slots - it.load.total();
 }
 
-/// Slots assumed to be in use beyond the known load: all slots of a target
-/// whose load is unknown.
+/// Of a target whose data centre has not reported for long, one in this many
+/// slots is considered free, and at least one.
+constexpr std::uint32_t slots_per_unclaimed = 4;
+
+/// Slots assumed to be in use beyond the known load.
 std::uint32_t reserved_slots(const candidate& it,
                              std::uint32_t slots_per_reserved) {
   if (slots_per_reserved == 0) return 0;
-  return it.load_known ? it.slots / slots_per_reserved : it.slots;
+  switch (it.knowledge) {
+    case load_knowledge::reported:
+      return it.slots / slots_per_reserved;
+    case load_knowledge::abandoned:
+      return it.slots - std::max(it.slots / slots_per_unclaimed, 1U);
+    case load_knowledge::unreported:
+      break;
+  }
+  return it.slots;
 }
 
 /// Slots of a target that daemons without a current report may use.
--- a/src/serving/slots.cc
+++ b/src/serving/slots.cc
@@ -61,16 +61,19 @@
     if (load.batch == 0) continue;
     const auto* target = find_target(in.targets, key);
     if (target == nullptr) continue;
-    auto n = batch_to_yield(in.board, in.settings.name, key,
-                            target->listed.slots, now);
-    // Newest first: they lose the least output.
-    for (auto it = in.attempts.rbegin(); it != in.attempts.rend() && n > 0;
-         ++it) {
-      if (it->kind != work_kind::batch || it->target != target->listed.id)
-        continue;
-      --n;
-      if (!it->stopped) it->stop();
-    }
+    preempt_newest_items(in, target->listed.id,
+                         batch_to_yield(in.board, in.settings.name, key,
+                                        target->listed.slots, now));
+  }
+}
+
+void preempt_newest_items(front& in, const std::string& target,
+                          std::uint32_t count) {
+  for (auto it = in.attempts.rbegin(); it != in.attempts.rend() && count > 0;
+       ++it) {
+    if (it->kind != work_kind::batch || it->target != target) continue;
+    --count;
+    if (!it->stopped) it->stop();
   }
 }
 
--- /dev/null
+++ b/test/far-data-centre-test.cc
@@ -0,0 +1,98 @@
+// End-to-end tests over loopback of batch work for targets in a data centre
+// whose daemons send no summaries: none was ever there, or all are lost.
+
+#include <catch2/catch.hpp>
+
+#include "job-calls.h"
+
+using namespace fulmar;
+using namespace fulmar::serving_test;
+
+namespace {
+
+/// Longer than a data centre counts as unreported, and than a load is believed.
+constexpr auto settle_time = 9500ms;
+
+/// Answers the question for the load, and requests by running them.
+struct loaded_target {
+  std::string load;
+  int asked = 0;
+  int runs = 0;
+  int most = 0;
+  std::vector<instant> started;
+
+  scripted_answer operator()(const std::string& head) {
+    if (head.starts_with("GET /v1/report ")) {
+      ++asked;
+      if (load.empty()) {
+        return {.bytes = "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"};
+      }
+      return {.bytes = concat("HTTP/1.1 200 OK\r\nContent-Length: ",
+                              load.size(), "\r\n\r\n", load)};
+    }
+    ++runs;
+    auto out = whole(head);
+    out.delay = 300ms;
+    note_start();
+    return out;
+  }
+
+  /// Counts the requests that began within the time that one takes.
+  void note_start() {
+    started.push_back(event_loop::steady());
+    auto recent = 0;
+    for (auto it : started)
+      recent += started.back() - it < 300ms ? 1 : 0;
+    most = std::max(most, recent);
+  }
+};
+
+/// Adds a target in a data centre that has no daemon.
+std::shared_ptr<loaded_target> add_far_target(fixture& it,
+                                              const std::string& load) {
+  auto out = std::make_shared<loaded_target>();
+  out->load = load;
+  it.add_target([out](const auto& head) { return (*out)(head); });
+  it.store.put("servers", concat("t", it.targets.size()),
+               concat(R"({"service":"s","zone":"far","slots":8,)",
+                      R"("state":"ready","addr":")",
+                      it.targets.back().address(), R"("})"));
+  return out;
+}
+
+}  // namespace
+
+TEST_CASE("items run in a data centre that has no daemon") {
+  auto& it = make_fixture();
+  auto target = add_far_target(it, R"({"running":0,"waiting":0})");
+  it.start();
+  REQUIRE(it.post("/jobs/1", "j1", job_body(10, "prompt", 6))->status == 202);
+  it.run_for(settle_time);
+  it.until([&] { return listed(it, "j1") == 6; });
+  CHECK(listed(it, "j1") == 6);
+  CHECK(target->asked > 0);
+}
+
+TEST_CASE("a target that states no load gets few items of other data centres") {
+  auto& it = make_fixture();
+  auto target = add_far_target(it, "");
+  it.start();
+  REQUIRE(it.post("/jobs/1", "j1", job_body(10, "prompt", 6))->status == 202);
+  it.run_for(settle_time);
+  it.until([&] { return listed(it, "j1") == 6; });
+  CHECK(listed(it, "j1") == 6);
+  CHECK(target->most <= 2);
+}
+
+TEST_CASE("a target that states requests of daemons unheard gets no items") {
+  auto& it = make_fixture();
+  auto target = add_far_target(it, R"({"running":8,"waiting":1})");
+  it.start();
+  REQUIRE(it.post("/jobs/1", "j1", job_body(10, "prompt", 4))->status == 202);
+  it.run_for(settle_time);
+  CHECK(target->asked > 0);
+  CHECK(target->runs == 0);
+  target->load = R"({"running":0,"waiting":0})";
+  it.until([&] { return listed(it, "j1") == 4; });
+  CHECK(listed(it, "j1") == 4);
+}
--- a/test/load-board-test.cc
+++ b/test/load-board-test.cc
@@ -275,12 +275,55 @@
 }
 
 TEST_CASE("loads elsewhere are known for as long as a summary counts") {
-  auto board = load_board{.data_centre = "dc"};
-  CHECK(knows_loads(board, "dc", 10s));
-  CHECK_FALSE(knows_loads(board, "dc2", 10s));
+  auto board = load_board{.data_centre = "dc", .began = 10s};
+  auto at = [&](instant now) { return load_knowledge_of(board, "dc2", now); };
+  CHECK(load_knowledge_of(board, "dc", 10s) == load_knowledge::reported);
+  CHECK(at(10s) == load_knowledge::unreported);
   take_summary(board, {.data_centre = "dc2", .sequence = 1}, 10s);
-  CHECK(knows_loads(board, "dc2", 11s));
-  CHECK_FALSE(knows_loads(board, "dc2", 12s));
+  CHECK(at(11s) == load_knowledge::reported);
+  CHECK(at(12s) == load_knowledge::unreported);
+}
+
+TEST_CASE("a data centre does not stay unreported for ever") {
+  auto board = load_board{.data_centre = "dc", .began = 10s};
+  auto at = [&](instant now) { return load_knowledge_of(board, "dc2", now); };
+  SECTION("that has never sent a summary") {
+    CHECK(at(18s) == load_knowledge::unreported);
+    CHECK(at(18001ms) == load_knowledge::abandoned);
+  }
+  SECTION("whose summaries have stopped") {
+    take_summary(board, {.data_centre = "dc2", .sequence = 1}, 30s);
+    CHECK(at(38s) == load_knowledge::unreported);
+    CHECK(at(38001ms) == load_knowledge::abandoned);
+    drop_silent_members(board, 60s);
+    CHECK(at(60s) == load_knowledge::abandoned);
+    SECTION("and begin again") {
+      take_summary(board, {.data_centre = "dc2", .gatherer = 2, .sequence = 1},
+                   61s);
+      CHECK(at(61s) == load_knowledge::reported);
+    }
+  }
+}
+
+TEST_CASE("a target's answer stands in for daemons that do not report") {
+  auto board = load_board{.data_centre = "dc"};
+  auto load = target_load{.batch = 2};
+  CHECK(apply_answer(board, target_key, load, 1s) ==
+        load_knowledge::unreported);
+  board.answers[target_key] = {.heard = 1s};
+  CHECK(apply_answer(board, target_key, load, 1s) == load_knowledge::abandoned);
+  CHECK(load.total() == 2);
+  board.answers[target_key].unreported = 5;
+  CHECK(apply_answer(board, target_key, load, 1s) == load_knowledge::reported);
+  CHECK(load.online == 5);
+  CHECK(load.batch == 2);
+  SECTION("until it is too old") {
+    auto late = 1s + board.options.answer_expiry + 1us;
+    CHECK(apply_answer(board, target_key, load, late) ==
+          load_knowledge::unreported);
+    drop_silent_members(board, late);
+    CHECK(board.answers.empty());
+  }
 }
 
 TEST_CASE("one pass over the reports finds what each look at a target finds") {
--- a/test/online-placement-test.cc
+++ b/test/online-placement-test.cc
@@ -180,7 +180,7 @@
 
 TEST_CASE("a target elsewhere whose load is unknown is the last resort") {
   auto unknown = at(far, 0, 0);
-  unknown.load_known = false;
+  unknown.knowledge = load_knowledge::unreported;
   auto options = placement_options{.slot_time = 800ms, .max_wait = 200ms};
   auto brief = std::vector{at(home, 9, 0), unknown};
   CHECK(place_online(brief, options).target == 0);
@@ -191,6 +191,23 @@
   CHECK_FALSE(place_batch(full, anywhere));
 }
 
+TEST_CASE("batch uses a few slots whose daemons have not reported for long") {
+  auto anywhere =
+      batch_reserve{.slots_per_reserved = 8, .slots_per_reserved_away = 3};
+  auto among = std::vector{at(far, 0, 0)};
+  among[0].knowledge = load_knowledge::abandoned;
+  CHECK(place_batch(among, anywhere) == 0);
+  among[0].load.batch = 1;
+  CHECK(place_batch(among, anywhere) == 0);
+  among[0].load.batch = 2;
+  CHECK_FALSE(place_batch(among, anywhere));
+  among[0] = at(far, 0, 0);
+  among[0].knowledge = load_knowledge::abandoned;
+  among[0].slots = 1;
+  CHECK(place_batch(among, anywhere) == 0);
+  CHECK_FALSE(place_batch(among, {.slots_per_reserved = 8}));
+}
+
 TEST_CASE("the last slots elsewhere are lent only when home has a long queue") {
   auto options = placement_options{.slot_time = 800ms, .max_wait = 200ms};
   auto brief = std::vector{at(home, 9, 0), at(far, 6, 0)};
--- a/test/platform-decoding-test.cc
+++ b/test/platform-decoding-test.cc
@@ -207,3 +207,14 @@
   CHECK(entry(R"("version":")" + longest + R"(",)").ok());
   CHECK_FALSE(entry(R"("version":")" + longest + R"(v",)").ok());
 }
+
+TEST_CASE("a target's load counts what runs and what waits") {
+  CHECK(decode_target_load(R"({"stage":"both","waiting":1,"running":12})") ==
+        13);
+  CHECK(decode_target_load(R"({"waiting":18446744073709551615,"running":0})") ==
+        1'000'000);
+  const auto* odd = GENERATE(
+      "", "[]", "{}", R"({"running":1})", R"({"running":"1","waiting":0})",
+      R"({"running":-1,"waiting":0})", R"({"running":1.5,"waiting":0})");
+  CHECK_FALSE(decode_target_load(odd));
+}
--- a/test/serving-daemon-test.cc
+++ b/test/serving-daemon-test.cc
@@ -3,12 +3,11 @@
 
 #include "fulmarpitch/serving/daemon.h"
 
-#include <absl/strings/escaping.h>
-
 #include <boost/json.hpp>
 #include <catch2/catch.hpp>
 
 #include "fulmarpitch/core/errors.h"
+#include "job-calls.h"
 #include "serving-fixture.h"
 
 using namespace fulmar;
@@ -275,34 +274,6 @@
   CHECK(it.post("/once/1", "a2")->status == 503);
 }
 
-namespace {
-
-std::string job_body(std::uint64_t tokens,
-                     const std::string& prompt = "prompt") {
-  auto item = [&](const char* id) {
-    return boost::json::object{{"id", id},
-                               {"path", concat("/jobs/", id)},
-                               {"headers", boost::json::object{{"X", "1"}}},
-                               {"body", absl::Base64Escape(prompt)},
-                               {"tokens", tokens}};
-  };
-  return boost::json::serialize(boost::json::object{
-      {"requests", boost::json::array{item("i1"), item("i2")}}});
-}
-
-boost::json::object results_of(fixture& it, const std::string& job) {
-  auto answer = it.get(concat("/v1/lots/", job, "?after=0"));
-  if (!answer.ok() || answer->status != 200) return {};
-  return boost::json::parse(answer->body).as_object();
-}
-
-std::size_t listed(fixture& it, const std::string& job) {
-  auto in = results_of(it, job);
-  return in.empty() ? 0 : in["results"].as_array().size();
-}
-
-}  // namespace
-
 TEST_CASE(
     "a job is accepted and run once, and its results keep their positions") {
   auto& it = make_fixture();
