Let the stand-in of the store refuse what the store refuses

Cause: the stand-in took any call, so no test could meet a limit of the store.

Change: the stand-in refuses too many entries, calls of over 1 MB, long names and values, several parts, too many tables, rates and objects beyond their limits, as PROTOCOL.md says, and ends reads at 500 rows or 1 MB. Objects can be dropped.

Result: store-limits-test holds; it is new.

--- a/include/fulmarpitch/fakes/platform-store.h
+++ b/include/fulmarpitch/fakes/platform-store.h
@@ -6,6 +6,7 @@
 #include <absl/status/status.h>
 
 #include <array>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -39,12 +40,32 @@
     {store_fault::lost, "lost"},
 }};
 
+/// What the store refuses, as its page states.
+struct platform_store_limits {
+  std::size_t call_entries = 100;
+  std::size_t call_bytes = 1'000'000;
+  std::size_t name_bytes = 200;
+  /// A row's value, before base64.
+  std::size_t row_bytes = 65'536;
+  std::size_t tables = 100;
+  std::size_t read_rows = 500;
+  std::size_t read_bytes = 1'000'000;
+  std::size_t listed_names = 1'000;
+  std::size_t object_bytes = 8'388'608;
+  std::size_t all_object_bytes = 400'000'000;
+  std::size_t writes_per_second = 800;
+  std::size_t reads_per_second = 2'000;
+  /// Transactions of one part; a second of them may wait.
+  std::size_t part_writes_per_second = 200;
+};
+
 /// Rows and objects in memory, served over HTTP.
 class platform_store_fake {
  public:
   struct state;
 
-  platform_store_fake(event_loop& loop, std::string host);
+  platform_store_fake(event_loop& loop, std::string host,
+                      platform_store_limits limits = {});
   ~platform_store_fake();
   platform_store_fake(const platform_store_fake&) = delete;
   platform_store_fake& operator=(const platform_store_fake&) = delete;
@@ -67,6 +88,12 @@
 
   std::uint64_t calls() const;
 
+  /// \return the calls that were refused because of their form or size.
+  std::uint64_t refused_calls() const;
+
+  /// \return the number of objects.
+  std::size_t objects() const;
+
  private:
   std::shared_ptr<state> state_;
 };
--- a/include/fulmarpitch/serving/settings.h
+++ b/include/fulmarpitch/serving/settings.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "fulmarpitch/core/types.h"
+#include "fulmarpitch/serving/store-limits.h"
 
 namespace fulmar::serving {
 
@@ -36,8 +37,7 @@
   std::uint16_t metrics_port = 9464;
   /// Address of the platform's store.
   std::string store_address;
-  /// Size limit of a row's value.
-  std::uint64_t max_row_bytes = std::uint64_t{64} * 1024;
+  store_limits limits;
   /// Time between SIGTERM and SIGKILL.
   instant grace = std::chrono::seconds(8);
   /// Time after which a target that is leaving gets no new requests.
--- a/include/fulmarpitch/serving/store.h
+++ b/include/fulmarpitch/serving/store.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "fulmarpitch/net/coroutine.h"
+#include "fulmarpitch/serving/store-limits.h"
 
 namespace fulmar::serving {
 
@@ -74,6 +75,26 @@
   std::vector<row_name> removals;
 };
 
+/// \return the conditions, writes and removals of a transaction.
+std::size_t entries_of(const row_transaction& it);
+
+/// \return the size of a transaction in its encoded form, in bytes; at most a
+///     little too high.
+std::size_t encoded_size(const row_transaction& it);
+
+/// \return whether a transaction may take one more row.
+bool has_room(const row_transaction& it, const written_row& next,
+              const store_limits& limits);
+
+/// Checks a transaction against the limits of the store.
+/// \return `too_large` or `bad_request` if the store would refuse it.
+absl::Status check_limits(const row_transaction& it,
+                          const store_limits& limits);
+
+/// \return whether the store refuses a call in the same way however often it
+///     is made.
+bool is_refusal(const absl::Status& it);
+
 /// Outcome of a transaction.
 struct transaction_result {
   bool committed = false;
@@ -86,8 +107,9 @@
 
 /// Operations of the store. They fail with `store_unavailable`; the outcome is
 /// `not_run` when the store did nothing, and `unknown` when the operation may
-/// have taken effect or may still do so seconds later. `not_found` from
-/// `changes` means that the change history was truncated.
+/// have taken effect or may still do so seconds later. `bad_request` and
+/// `too_large` mean that the store refuses the call. `not_found` from `changes`
+/// means that the change history was truncated.
 struct row_store {
   std::function<task<absl::StatusOr<row_page>>(row_range)> read;
   /// Waits up to `wait` for changes to a table after a version.
@@ -104,6 +126,8 @@
   std::function<task<absl::Status>(std::string name, std::string bytes)>
       put_object;
   std::function<task<absl::StatusOr<std::string>>(std::string name)> get_object;
+  /// Removes an object; does nothing if there is none.
+  std::function<task<absl::Status>(std::string name)> drop_object;
 };
 
 }  // namespace fulmar::serving
--- a/src/fakes/platform-store.cc
+++ b/src/fakes/platform-store.cc
@@ -3,9 +3,11 @@
 #include <absl/strings/escaping.h>
 #include <absl/strings/numbers.h>
 
+#include <algorithm>
 #include <boost/json.hpp>
 #include <list>
 #include <map>
+#include <set>
 #include <tuple>
 #include <utility>
 #include <vector>
@@ -23,7 +25,10 @@
 constexpr int status_gone = 410;
 constexpr int status_failed_condition = 412;
 constexpr int status_forbidden = 403;
-constexpr std::size_t max_rows = 500;
+constexpr int status_bad_request = 400;
+constexpr int status_too_large = 413;
+constexpr int status_too_many = 429;
+constexpr int status_full = 507;
 
 /// How often waits for changes are looked at.
 constexpr auto feed_tick = std::chrono::milliseconds(5);
@@ -73,11 +78,24 @@
     instant until{};
   };
 
-  state(event_loop& event_loop, std::string address)
-      : loop(event_loop), host(std::move(address)) {}
+  /// Calls within the current second.
+  struct call_rate {
+    std::int64_t second = 0;
+    std::size_t calls = 0;
+
+    bool exceeds(std::size_t most, instant now) {
+      auto current = std::chrono::floor<std::chrono::seconds>(now).count();
+      if (std::exchange(second, current) != current) calls = 0;
+      return ++calls > most;
+    }
+  };
+
+  state(event_loop& event_loop, std::string address, platform_store_limits most)
+      : loop(event_loop), host(std::move(address)), limits(most) {}
 
   event_loop& loop;
   std::string host;
+  platform_store_limits limits;
   std::unique_ptr<http_server> server;
   std::map<row_key, row> rows;
   std::map<std::string, std::string> objects;
@@ -85,6 +103,12 @@
   std::uint64_t history_from = 0;
   store_fault fault = store_fault::none;
   std::uint64_t calls = 0;
+  std::uint64_t refused_calls = 0;
+  std::size_t object_bytes = 0;
+  call_rate reads;
+  call_rate writes;
+  /// When the transactions of a part that were accepted have been applied.
+  std::map<std::string, instant> part_busy_until;
   std::list<feed> feeds;
   /// Exchanges that never get an answer.
   std::vector<std::shared_ptr<http_exchange>> silent;
@@ -121,7 +145,13 @@
     }
     auto target = std::string_view(client->request().target);
     auto path = path_of(target);
-    if (path == "/v1/rows-tx") {
+    auto reads_only = client->request().method == "GET";
+    auto now = event_loop::steady();
+    auto beyond = reads_only ? reads.exceeds(limits.reads_per_second, now)
+                             : writes.exceeds(limits.writes_per_second, now);
+    if (beyond) {
+      client->respond({.status = status_too_many});
+    } else if (path == "/v1/rows-tx") {
       transact(std::move(client));
     } else if (path == "/v1/rows-get") {
       read(*client, target);
@@ -134,8 +164,79 @@
     }
   }
 
+  void refuse(http_exchange& client, int status, const std::string& why) {
+    ++refused_calls;
+    answer(client, status, {{"error", why}});
+  }
+
+  bool fits(const row_key& key) const {
+    const auto& [table, part, name] = key;
+    return std::max({table.size(), part.size(), name.size()}) <=
+           limits.name_bytes;
+  }
+
+  std::size_t count_tables(const std::vector<row_key>& with) const {
+    auto tables = std::set<std::string>();
+    for (const auto& [key, it] : rows)
+      tables.insert(std::get<0>(key));
+    for (const auto& it : with)
+      tables.insert(std::get<0>(it));
+    return tables.size();
+  }
+
+  /// \return why a transaction is refused for its form or size; empty if it is
+  ///     not.
+  std::string problem_of(json::object& in, std::size_t bytes) const {
+    if (bytes > limits.call_bytes) return "the call is too large";
+    auto keys = std::vector<row_key>();
+    for (const auto* list : {"precondition", "setKeys", "remove"}) {
+      for (const auto& it : in[list].as_array())
+        keys.push_back(key_of(it));
+    }
+    if (keys.size() > limits.call_entries)
+      return "the call has too many entries";
+    for (const auto& it : keys) {
+      if (!fits(it)) return "a row's name is too long";
+      if (std::get<1>(it) != std::get<1>(keys.front()))
+        return "the entries are of several parts";
+    }
+    for (const auto& it : in["setKeys"].as_array()) {
+      auto value = std::string();
+      if (!absl::Base64Unescape(it.at("value").as_string().c_str(), &value))
+        return "a value is no base64";
+      if (value.size() > limits.row_bytes) return "a value is too long";
+    }
+    if (count_tables(keys) > limits.tables) return "there are too many tables";
+    return {};
+  }
+
+  /// \return whether a transaction has to wait for over a second.
+  bool is_congested(const std::string& part) {
+    constexpr auto longest_wait = std::chrono::seconds(1);
+    auto now = event_loop::steady();
+    auto& until = part_busy_until[part];
+    until = std::max(until, now);
+    if (until - now > longest_wait) return true;
+    until += instant(std::chrono::seconds(1)) /
+             static_cast<std::int64_t>(limits.part_writes_per_second);
+    return false;
+  }
+
   void transact(std::shared_ptr<http_exchange> client) {
-    auto in = json::parse(client->request().body).as_object();
+    auto parsed = boost::system::error_code();
+    auto body = json::parse(client->request().body, parsed);
+    if (parsed || !body.is_object())
+      return refuse(*client, status_bad_request, "the body is no JSON object");
+    auto& in = body.as_object();
+    auto problem = problem_of(in, client->request().body.size());
+    if (!problem.empty()) return refuse(*client, status_bad_request, problem);
+    for (const auto* list : {"setKeys", "precondition", "remove"}) {
+      const auto& entries = in[list].as_array();
+      if (entries.empty()) continue;
+      if (is_congested(std::get<1>(key_of(entries.front()))))
+        return client->respond({.status = status_too_many});
+      break;
+    }
     auto conflicts = json::array();
     for (const auto& it : in["precondition"].as_array()) {
       auto key = key_of(it);
@@ -178,22 +279,29 @@
   void read(http_exchange& client, std::string_view q) {
     auto out = stamped();
     auto found = json::array();
-    auto limit =
-        std::min<std::size_t>(number_of(q, "limit", max_rows), max_rows);
+    auto limit = std::min<std::size_t>(number_of(q, "limit", limits.read_rows),
+                                       limits.read_rows);
+    auto bytes = std::size_t{0};
     auto truncated = false;
     auto to = query_parameter(q, "to");
     auto from = row_key(query_parameter(q, "table"), query_parameter(q, "part"),
                         query_parameter(q, "from"));
+    if (!fits(from)) {
+      return refuse(client, status_bad_request, "a row's name is too long");
+    }
     for (auto it = rows.lower_bound(from); it != rows.end(); ++it) {
       const auto& [table, part, key] = it->first;
       if (table != std::get<0>(from) || part != std::get<1>(from)) break;
       if (!to.empty() && key >= to) break;
       if (it->second.removed) continue;
-      if (found.size() == limit) {
+      auto object = row_object(it->first, it->second);
+      bytes += json::serialize(object).size();
+      auto full = !found.empty() && bytes > limits.read_bytes;
+      if (found.size() == limit || full) {
         truncated = true;
         break;
       }
-      found.push_back(row_object(it->first, it->second));
+      found.push_back(std::move(object));
     }
     out["rows"] = std::move(found);
     out["truncated"] = truncated;
@@ -202,6 +310,7 @@
 
   void list_parts(http_exchange& client, std::string_view q) {
     auto parts = json::array();
+    auto truncated = false;
     auto last = std::string();
     for (const auto& [key, it] : rows) {
       const auto& [table, part, name] = key;
@@ -210,12 +319,14 @@
       if (part <= query_parameter(q, "after") &&
           !query_parameter(q, "after").empty())
         continue;
+      truncated = parts.size() == limits.listed_names;
+      if (truncated) break;
       parts.push_back(json::value(part));
       last = part;
     }
     auto out = stamped();
     out["parts"] = std::move(parts);
-    out["truncated"] = false;
+    out["truncated"] = truncated;
     answer(client, 200, out);
   }
 
@@ -261,25 +372,41 @@
   void take_object(http_exchange& client, std::string_view path) {
     constexpr auto put = std::string_view("/v1/blob-put/");
     constexpr auto get = std::string_view("/v1/blob-get/");
+    constexpr auto drop = std::string_view("/v1/blob-drop/");
     if (path.starts_with(put)) {
-      auto name = std::string(path.substr(put.size()));
-      auto added = objects.try_emplace(name, client.request().body).second;
-      client.respond({.status = added ? 200 : status_failed_condition});
-      return;
-    }
-    auto found = path.starts_with(get)
-                     ? objects.find(std::string(path.substr(get.size())))
-                     : objects.end();
-    if (found == objects.end()) {
-      client.respond({.status = 404});
-    } else {
+      put_object(client, std::string(path.substr(put.size())));
+    } else if (path.starts_with(get)) {
+      auto found = objects.find(std::string(path.substr(get.size())));
+      if (found == objects.end()) return client.respond({.status = 404});
       client.respond({.body = found->second});
+    } else if (path.starts_with(drop)) {
+      auto found = objects.find(std::string(path.substr(drop.size())));
+      if (found == objects.end()) return client.respond({.status = 404});
+      object_bytes -= found->second.size();
+      objects.erase(found);
+      client.respond({});
+    } else {
+      client.respond({.status = 404});
     }
   }
+
+  void put_object(http_exchange& client, const std::string& name) {
+    const auto& body = client.request().body;
+    if (body.size() > limits.object_bytes)
+      return refuse(client, status_too_large, "the object is too large");
+    if (objects.contains(name))
+      return client.respond({.status = status_failed_condition});
+    if (object_bytes + body.size() > limits.all_object_bytes)
+      return client.respond({.status = status_full});
+    object_bytes += body.size();
+    objects.emplace(name, body);
+    client.respond({});
+  }
 };
 
-platform_store_fake::platform_store_fake(event_loop& loop, std::string host)
-    : state_(std::make_shared<state>(loop, std::move(host))) {}
+platform_store_fake::platform_store_fake(event_loop& loop, std::string host,
+                                         platform_store_limits limits)
+    : state_(std::make_shared<state>(loop, std::move(host), limits)) {}
 
 platform_store_fake::~platform_store_fake() {
   state_->feeds.clear();
@@ -289,7 +416,11 @@
 
 absl::Status platform_store_fake::start() {
   state_->server = std::make_unique<http_server>(
-      state_->loop, http_server_options{.host = state_->host},
+      state_->loop,
+      http_server_options{
+          .host = state_->host,
+          .max_body_bytes = 2 * std::max(state_->limits.object_bytes,
+                                         state_->limits.call_bytes)},
       [weak = std::weak_ptr(state_)](std::shared_ptr<http_exchange> client) {
         if (auto it = weak.lock()) it->take(std::move(client));
       });
@@ -336,4 +467,12 @@
   return state_->calls;
 }
 
+std::uint64_t platform_store_fake::refused_calls() const {
+  return state_->refused_calls;
+}
+
+std::size_t platform_store_fake::objects() const {
+  return state_->objects.size();
+}
+
 }  // namespace fulmar
--- a/src/serving/front.cc
+++ b/src/serving/front.cc
@@ -73,7 +73,9 @@
       store_links(io, {.idle = std::chrono::seconds(30)}),
       daemon_links(io, {}),
       store(platform::connect_store(
-          store_links, {.address = settings.store_address}, store_counts)),
+          store_links,
+          {.address = settings.store_address, .limits = settings.limits},
+          store_counts)),
       book_changed(io),
       log(event_log_options()) {
   board.data_centre = settings.data_centre;
--- a/test/platform-decoding-test.cc
+++ b/test/platform-decoding-test.cc
@@ -31,7 +31,7 @@
   CHECK(it->seeds == std::vector<std::string>{"10.1.0.10", "10.2.0.4"});
   CHECK(it->first_peer_port == 7720);
   CHECK(it->store_address == "10.9.0.1:90");
-  CHECK(it->max_row_bytes == 1000);
+  CHECK(it->limits.row_bytes == 1000);
   CHECK(it->drain_delay == 2500ms);
   CHECK(it->quota_slack == 0.2);
 }
--- /dev/null
+++ b/test/store-limits-test.cc
@@ -0,0 +1,165 @@
+// Calls beyond the limits of the platform's store: the stand-in refuses them,
+// and no daemon makes them.
+
+#include <catch2/catch.hpp>
+
+#include "fulmarpitch/core/errors.h"
+#include "fulmarpitch/net/link-pool.h"
+#include "fulmarpitch/serving/begun-streams.h"
+#include "job-calls.h"
+#include "platform/store-client.h"
+
+using namespace fulmar;
+using namespace fulmar::serving;
+using namespace fulmar::serving_test;
+
+namespace {
+
+/// A store client without limits of its own.
+struct store_caller {
+  event_loop loop;
+  platform_store_fake fake;
+  link_pool links{io_of(loop), {}};
+  platform::store_call_counts counts;
+  row_store store;
+
+  explicit store_caller(platform_store_limits limits = {})
+      : fake(loop, "127.0.0.1", limits) {
+    REQUIRE(fake.start().ok());
+    constexpr auto unlimited = store_limits{.entries = 1'000'000,
+                                            .call_bytes = 1'000'000'000,
+                                            .row_bytes = 1'000'000'000,
+                                            .name_bytes = 1'000'000,
+                                            .object_bytes = 1'000'000'000};
+    store = platform::connect_store(
+        links, {.address = fake.address(), .limits = unlimited}, counts);
+  }
+
+  template <typename T>
+  T wait_for(task<T> work) {
+    auto out = std::optional<T>();
+    asio::co_spawn(
+        io_of(loop),
+        [](task<T> it, std::optional<T>& to, event_loop& at) -> task<void> {
+          auto result = co_await std::move(it);
+          to = std::move(result);
+          at.stop();
+        }(std::move(work), out, loop),
+        asio::detached);
+    loop.run();
+    return std::move(*out);
+  }
+};
+
+written_row row(const std::string& key, std::size_t bytes = 1,
+                const std::string& part = "p") {
+  return {.name = {.table = "t", .part = part, .key = key},
+          .value = std::string(bytes, 'x')};
+}
+
+row_transaction rows(std::size_t count, std::size_t bytes = 1) {
+  auto out = row_transaction();
+  for (auto n = std::size_t{0}; n < count; ++n)
+    out.writes.push_back(row(std::to_string(n), bytes));
+  return out;
+}
+
+}  // namespace
+
+TEST_CASE("the store's stand-in and the check refuse the same transactions") {
+  struct limit_case {
+    const char* name;
+    row_transaction change;
+    bool fits;
+  };
+  auto mixed = rows(98);
+  mixed.expected.push_back({.name = row("x").name});
+  mixed.removals.push_back(row("y").name);
+  auto too_many = mixed;
+  too_many.removals.push_back(row("z").name);
+  auto long_key = row_transaction{.writes = {row(std::string(201, 'k'))}};
+  auto it = GENERATE_COPY(values<limit_case>(
+      {{"100 entries", mixed, true},
+       {"101 entries", too_many, false},
+       {"720 KB of values", rows(15, 48'000), true},
+       {"768 KB of values", rows(16, 48'000), false},
+       {"a key of 201 bytes", long_key, false},
+       {"a key of 200 bytes", {.writes = {row(std::string(200, 'k'))}}, true},
+       {"a value of 48 KB", rows(1, 49'152), true},
+       {"a value of 70 KB", rows(1, 70'000), false}}));
+  CAPTURE(it.name);
+  CHECK(check_limits(it.change, {}).ok() == it.fits);
+  auto at = store_caller();
+  auto result = at.wait_for(at.store.commit(it.change));
+  CHECK(result.ok() == it.fits);
+  CHECK(at.fake.refused_calls() == (it.fits ? 0 : 1));
+  if (!it.fits) CHECK(is_refusal(result.status()));
+}
+
+TEST_CASE("a transaction covers one part") {
+  auto two_parts = rows(1);
+  two_parts.writes.push_back(row("x", 1, "q"));
+  CHECK(code_of(check_limits(two_parts, {})) == error_code::bad_request);
+  auto at = store_caller();
+  auto answer = absl::StatusOr<http_response>(absl::UnknownError("no answer"));
+  fetch(at.loop,
+        {.address = at.fake.address(),
+         .request = {.method = "POST",
+                     .target = "/v1/rows-tx",
+                     .body = R"({"precondition":[],"remove":[],"setKeys":[
+                       {"table":"t","part":"p","key":"a","value":""},
+                       {"table":"t","part":"q","key":"b","value":""}]})"}},
+        [&](auto result) {
+          answer = std::move(result);
+          at.loop.stop();
+        });
+  at.loop.run();
+  REQUIRE(answer.ok());
+  CHECK(answer->status == 400);
+  CHECK(at.fake.refused_calls() == 1);
+}
+
+TEST_CASE("a client makes no call that the store would refuse") {
+  auto at = store_caller();
+  auto client = platform::connect_store(
+      at.links, {.address = at.fake.address()}, at.counts);
+  auto result = at.wait_for(client.commit(rows(101)));
+  REQUIRE_FALSE(result.ok());
+  CHECK(code_of(result.status()) == error_code::too_large);
+  auto object = std::string(store_limits().object_bytes + 1, 'x');
+  CHECK(code_of(at.wait_for(client.put_object("o", object))) ==
+        error_code::too_large);
+  CHECK(at.fake.calls() == 0);
+}
+
+TEST_CASE("a read ends at 1 MB, and objects are limited in size and in all") {
+  auto at = store_caller({.object_bytes = 1000, .all_object_bytes = 1500});
+  for (auto n = 0; n < 2; ++n) {
+    auto change = row_transaction();
+    for (auto it = 0; it < 15; ++it)
+      change.writes.push_back(row(std::to_string(15 * n + it), 48'000));
+    REQUIRE(at.wait_for(at.store.commit(change)).ok());
+  }
+  auto page = at.wait_for(at.store.read({.table = "t", .part = "p"}));
+  REQUIRE(page.ok());
+  CHECK(page->truncated);
+  CHECK(page->rows.size() < 16);
+  CHECK_FALSE(page->rows.empty());
+  CHECK_FALSE(
+      at.wait_for(at.store.put_object("a", std::string(1001, 'x'))).ok());
+  CHECK(at.wait_for(at.store.put_object("a", std::string(1000, 'x'))).ok());
+  CHECK_FALSE(
+      at.wait_for(at.store.put_object("b", std::string(501, 'x'))).ok());
+  CHECK(at.wait_for(at.store.drop_object("a")).ok());
+  CHECK(at.wait_for(at.store.drop_object("a")).ok());
+  CHECK(at.wait_for(at.store.put_object("b", std::string(501, 'x'))).ok());
+}
+
+TEST_CASE("calls beyond the store's rates are refused") {
+  auto at = store_caller({.writes_per_second = 1});
+  auto refused = 0;
+  for (auto n = 0; n < 5; ++n) {
+    if (!at.wait_for(at.store.commit(rows(1))).ok()) ++refused;
+  }
+  CHECK(refused >= 3);
+}
