Keep a job's writes within the limits of the store

Cause: the listing was bounded by its bytes alone. The store refused it with 400, and the owner sent it again each 0.2 s, with all later results in it. Saves of failures and the hand-over of a job had the same fault. No output was checked against the row's limit.

Change: listings, saves and hand-overs take rows while the store's limits leave room. What the store refuses for good is halved; a result that is refused alone waits 10 s while the others are listed. An output that is longer than a row is stored in pieces before its result; one of over 900 KB, which no answer holds, is dropped and its item waits. A job whose id or body can never be kept is refused at once with 400 or 413. Removal no longer takes a page of long rows for all of them, and objects are dropped with their job or when it is not accepted.

--- a/include/fulmarpitch/serving/job-run.h
+++ b/include/fulmarpitch/serving/job-run.h
@@ -9,6 +9,7 @@
 
 #include <array>
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <string>
 #include <vector>
@@ -35,6 +36,10 @@
   std::uint32_t withdrawal_count = 0;
   /// Earliest start of the next attempt.
   instant not_before{};
+  /// Pieces of its output that are already in the store.
+  std::uint32_t stored_pieces = 0;
+  /// Earliest time to list it again after the store refused its result.
+  instant list_after{};
   /// Since when no target has brought an event of the item; empty while one
   /// does.
   std::optional<instant> stalled_since;
@@ -50,12 +55,16 @@
   instant due_after = instant::max() / 2;
   /// Earliest retry after a failed listing transaction.
   instant list_after{};
+  /// Most results in one transaction; lowered while the store refuses them.
+  std::size_t max_listed = std::numeric_limits<std::size_t>::max();
   /// A transaction that saves progress is in flight.
   bool saving = false;
   /// Earliest time to save output again; failures are saved at once.
   instant save_after{};
   /// Earliest retry after a failed save transaction.
   instant save_retry_after{};
+  /// Most items in one save; lowered while the store refuses it.
+  std::size_t max_saved = std::numeric_limits<std::size_t>::max();
   /// The job's ownership is being released.
   bool releasing = false;
   /// Earliest retry after a failed release transaction.
@@ -83,9 +92,11 @@
   preempted,
   /// This daemon withdrew it from the queue of a target without a free slot.
   queued,
+  /// The output is longer than any answer that lists it.
+  too_long,
 };
 
-inline constexpr std::array<named<attempt_end>, 7> attempt_end_names{{
+inline constexpr std::array<named<attempt_end>, 8> attempt_end_names{{
     {attempt_end::complete, "complete"},
     {attempt_end::impossible, "impossible"},
     {attempt_end::failed, "failed"},
@@ -93,8 +104,12 @@
     {attempt_end::broken, "broken"},
     {attempt_end::preempted, "yielded"},
     {attempt_end::queued, "queued"},
+    {attempt_end::too_long, "too_long"},
 }};
 
+/// Longest output of an item: clients read it in an answer of at most 1 MB.
+inline constexpr std::size_t max_output_bytes = 900'000;
+
 /// Delays before an item is retried.
 struct item_retry_options {
   /// After a full target refused the attempt.
@@ -187,10 +202,39 @@
   job_row row;
 };
 
-/// Builds the transaction that lists finished items.
-/// \param max_bytes limit on the result bytes; one result always fits.
-/// \return nothing when no item is finished and unlisted.
-std::optional<listing> next_listing(const job_run& run, std::size_t max_bytes);
+/// Builds the transaction that lists finished items, as many as the store's
+/// limits allow. An output that is longer than a row has to be stored first.
+/// \param now current time on the steady clock.
+/// \return nothing when no finished item can be listed.
+std::optional<listing> next_listing(const job_run& run,
+                                    const store_limits& limits, instant now);
+
+/// A transaction that stores pieces of an item's output.
+struct output_save {
+  row_transaction transaction;
+  std::uint32_t item = 0;
+  /// Pieces in the store after it.
+  std::uint32_t pieces = 0;
+};
+
+/// Builds the transaction that stores the next pieces of a finished item's
+/// output. It fails when the job's row has changed, so that a former owner does
+/// not replace the pieces of its successor.
+/// \param now current time on the steady clock.
+/// \return nothing when no output has to be stored.
+std::optional<output_save> next_output(const job_run& run,
+                                       const store_limits& limits, instant now);
+
+/// Puts aside an item whose output or result the store refuses.
+/// \param now current time on the steady clock.
+void note_refusal(job_item& item, instant now);
+
+/// Adapts a run to a transaction that the store refuses however often it is
+/// sent: the next one lists fewer results, and a result that is refused alone
+/// does not hold up the others.
+/// \param refused the transaction.
+/// \param now current time on the steady clock.
+void note_refusal(job_run& run, const listing& refused, instant now);
 
 /// A transaction that saves progress, and what it saves of each item.
 struct progress_save {
@@ -209,15 +253,19 @@
 /// a new owner resumes from there. It fails when the job's row has changed.
 /// \param min_events items with fewer events since the last save are skipped,
 ///     unless they have failed since.
-/// \param max_bytes limit on the output bytes; one item always fits.
-/// \return nothing when there is nothing to save.
+/// \return nothing when there is nothing to save. Output that is longer than a
+///     row is not saved, so that a new owner begins the item anew.
 std::optional<progress_save> next_save(const job_run& run,
                                        std::uint64_t min_events,
-                                       std::size_t max_bytes);
+                                       const store_limits& limits);
 
 /// Records that a progress transaction was committed.
 void mark_saved(job_run& run, const progress_save& save);
 
+/// Adapts a run to a save that the store refuses however often it is sent: the
+/// next one has fewer items, and an item that is refused alone goes on without.
+void note_refusal(job_run& run, const progress_save& refused);
+
 /// Tells whether a newer row ends the run at once, even while a listing
 /// transaction is in flight: the job was ended, or has another owner.
 /// \param known the newest known row of the job.
--- a/include/fulmarpitch/serving/jobs.h
+++ b/include/fulmarpitch/serving/jobs.h
@@ -31,6 +31,8 @@
 inline constexpr const char* bodies = "bodies";
 /// Results, one row per position.
 inline constexpr const char* results = "results";
+/// Outputs that are too long for a row, split into pieces.
+inline constexpr const char* outputs = "outputs";
 /// Partial output of unfinished items.
 inline constexpr const char* partials = "partials";
 }  // namespace job_table
@@ -83,6 +85,13 @@
 /// Names the row that holds an item's partial output.
 row_name progress_row_name(const job_row& it, std::uint32_t item);
 
+/// Names the row that holds a piece of an item's output.
+row_name output_row_name(const job_row& it, std::uint32_t item,
+                         std::uint32_t piece);
+
+/// The rows of the pieces of an item's output.
+row_range output_rows_of(const job_row& it, std::uint32_t item);
+
 /// The job's rows in a table that has one row per number.
 row_range rows_of(const char* table, const job_row& job);
 
@@ -102,6 +111,10 @@
   std::string id;
   item_end end = item_end::done;
   std::string output;
+  /// Pieces of the output in a table of its own; 0 if it is in this row.
+  std::uint32_t pieces = 0;
+  /// The item's number, which names the pieces.
+  std::uint32_t item = 0;
 };
 
 std::string encode_result(const item_result& it);
@@ -192,7 +205,9 @@
 /// Builds the transaction that removes a job's rows, up to the size limit of a
 /// transaction. The job's own row is removed together with the last of them.
 /// \param rows names of the job's other rows that are still in the store.
-row_transaction removal(const job_row& job, std::vector<row_name> rows);
+/// \param whole the names are all that there are.
+row_transaction removal(const job_row& job, std::vector<row_name> rows,
+                        bool whole = true);
 
 /// Builds the transaction that accepts a job.
 /// \param quota_counter the quota counter as last read; nothing for a job that
--- a/src/serving/job-calls.cc
+++ b/src/serving/job-calls.cc
@@ -21,10 +21,9 @@
 constexpr auto end_retry_delay = std::chrono::milliseconds(100);
 constexpr auto end_timeout = std::chrono::milliseconds(2000);
 
-/// Limits on the results in one response, which may hold 1 MB: 40 results of
-/// 20 KB fit.
+/// Limits on the results in one response.
 constexpr std::uint32_t max_results_per_response = 40;
-constexpr std::size_t max_result_bytes = std::size_t{900} * 1024;
+constexpr std::size_t max_response_bytes = 1'000'000;
 
 /// Finds a job in the job book or, failing that, in the store.
 /// \return the job; `not_found` only when the store has no such row.
@@ -60,6 +59,31 @@
   refuse(*client, status_not_run, "the store is away", store_retry_delay);
 }
 
+/// Reads the pieces of an output that is longer than a row.
+task<absl::StatusOr<std::string>> read_output(front& in, job_row job,
+                                              item_result result) {
+  auto out = std::string();
+  auto pieces = std::uint32_t{0};
+  auto range = output_rows_of(job, result.item);
+  for (;;) {
+    auto page = co_await in.store.read(range);
+    if (!page.ok()) co_return page.status();
+    for (const auto& it : page->rows) {
+      // A former owner may have left pieces of a longer output.
+      if (pieces == result.pieces) break;
+      out += it.value;
+      ++pieces;
+    }
+    if (pieces == result.pieces) co_return out;
+    if (!page->truncated || page->rows.empty()) {
+      co_return make_error(
+          error_code::internal,
+          concat("pieces of item ", result.id, " are missing"));
+    }
+    range.from = page->rows.back().name.key + '\0';
+  }
+}
+
 /// Reads the results from a position on, up to the limits of one response.
 task<absl::StatusOr<std::vector<item_result>>> read_result_page(
     front& in, job_row job, std::uint32_t position) {
@@ -70,15 +94,32 @@
   auto out = std::vector<item_result>();
   auto bytes = std::size_t{0};
   for (const auto& it : page->rows) {
-    bytes += it.value.size();
-    if (!out.empty() && bytes > max_result_bytes) break;
     auto result = decode_result(it.value);
     if (!result.ok()) co_return result.status();
+    if (!out.empty() && result->pieces > 0) break;
+    if (result->pieces > 0) {
+      auto output = co_await read_output(in, job, *result);
+      if (!output.ok()) co_return output.status();
+      result->output = std::move(*output);
+    }
+    bytes += result->output.size();
+    if (!out.empty() && bytes > max_response_bytes) break;
     out.push_back(std::move(*result));
   }
   co_return out;
 }
 
+/// Encodes results from a position on, as many as fit into a response.
+std::string encode_page(const job_row& job, std::vector<item_result> results,
+                        std::uint32_t position) {
+  for (;;) {
+    auto next = position + static_cast<std::uint32_t>(results.size());
+    auto out = platform::encode_results(job.items, results, next);
+    if (results.size() <= 1 || out.size() <= max_response_bytes) return out;
+    results.resize(results.size() / 2);
+  }
+}
+
 }  // namespace
 
 task<void> read_results(front& in, std::shared_ptr<http_exchange> client,
@@ -113,10 +154,8 @@
     co_await forward_or_refuse_read(in, client, id);
     co_return;
   }
-  auto next = position + static_cast<std::uint32_t>(results->size());
-  client->respond(
-      {.headers = {{"Content-Type", "application/json"}},
-       .body = platform::encode_results(job->items, *results, next)});
+  client->respond({.headers = {{"Content-Type", "application/json"}},
+                   .body = encode_page(*job, std::move(*results), position)});
 }
 
 task<void> read_item(front& in, std::shared_ptr<http_exchange> client,
--- a/src/serving/job-run.cc
+++ b/src/serving/job-run.cc
@@ -13,6 +13,17 @@
 constexpr std::uint32_t max_backoff_steps = 4;
 constexpr std::uint32_t backoff_factor = 4;
 
+/// Delay before a result that the store refused alone is listed again.
+constexpr auto refused_list_delay = std::chrono::seconds(10);
+
+/// Longest text in front of an output in a result's row, without the item's id,
+/// and in a progress row, without its origin.
+constexpr std::size_t max_result_head = 64;
+constexpr std::size_t max_progress_head = 64;
+
+/// Bytes of a percent-encoded one.
+constexpr std::size_t percent_encoded_factor = 3;
+
 void mark_listed(job_run& run) {
   for (auto it : run.row.listed) {
     auto& item = run.items[it];
@@ -33,6 +44,43 @@
   item.not_before = until;
 }
 
+/// \return a row that is as long as any later one of the job.
+job_row longest_row(job_row it) {
+  it.listed.assign(it.items, it.items);
+  return it;
+}
+
+bool is_listable(const job_item& it, instant now) {
+  return it.state == item_state::finished && now >= it.list_after;
+}
+
+/// \return the number of rows that an item's output takes apart from its
+///     result's row; 0 if it fits there.
+std::uint32_t count_pieces(const job_item& it, const store_limits& limits) {
+  auto most = max_value_bytes(limits.row_bytes);
+  auto size = it.progress.output.size();
+  if (size + it.request.id.size() + max_result_head <= most) return 0;
+  return static_cast<std::uint32_t>((size + most - 1) / most);
+}
+
+item_result result_of(const job_item& item, std::uint32_t number,
+                      std::uint32_t pieces) {
+  auto out = item_result{.id = item.request.id, .end = item.end};
+  if (pieces == 0) {
+    out.output = item.progress.output;
+  } else {
+    out.pieces = pieces;
+    out.item = number;
+  }
+  return out;
+}
+
+bool fits_row(const item_progress& it, const store_limits& limits) {
+  auto origin = it.origin.service.size() + it.origin.version.size();
+  auto head = max_progress_head + percent_encoded_factor * origin;
+  return it.output.size() + head <= max_value_bytes(limits.row_bytes);
+}
+
 }  // namespace
 
 job_run start_run(job_row row, std::vector<submitted_item> submitted) {
@@ -81,6 +129,10 @@
 void end_attempt(job_item& item, attempt_end end, bool progressed,
                  std::uint32_t attempts, instant now,
                  const item_retry_options& options) {
+  if (end == attempt_end::too_long) {
+    begin_anew(item);
+    progressed = false;
+  }
   if (progressed) item.consecutive_breaks = item.withdrawal_count = 0;
   if (progressed) {
     item.stalled_since.reset();
@@ -111,6 +163,7 @@
       ++item.withdrawal_count;
       wait(item, now + options.withdrawal_delay);
       return;
+    case attempt_end::too_long:
     case attempt_end::broken:
       break;
   }
@@ -143,56 +196,94 @@
   }
 }
 
-std::optional<listing> next_listing(const job_run& run, std::size_t max_bytes) {
+std::optional<listing> next_listing(const job_run& run,
+                                    const store_limits& limits, instant now) {
   auto out = listing{.row = run.row};
-  out.transaction.expected = {
-      {.name = job_row_name(run.row), .version = run.row.version}};
-  auto bytes = std::size_t{0};
+  auto& change = out.transaction;
+  change = job_change(run.row, longest_row(run.row));
+  auto before = run.row.listed.size();
   for (auto it = std::uint32_t{0}; it < run.items.size(); ++it) {
     const auto& item = run.items[it];
-    if (item.state != item_state::finished) continue;
-    auto value = encode_result({.id = item.request.id,
-                                .end = item.end,
-                                .output = item.progress.output});
-    if (bytes > 0 && bytes + value.size() > max_bytes) break;
-    bytes += value.size();
+    if (out.row.listed.size() - before >= run.max_listed) break;
+    if (!is_listable(item, now)) continue;
+    auto pieces = count_pieces(item, limits);
+    if (item.stored_pieces < pieces) continue;
     auto position = static_cast<std::uint32_t>(out.row.listed.size());
-    out.transaction.writes.push_back(
-        {.name = result_row_name(run.row, position),
-         .value = std::move(value)});
+    auto next =
+        written_row{.name = result_row_name(run.row, position),
+                    .value = encode_result(result_of(item, it, pieces))};
+    if (!has_room(change, next, limits)) break;
+    change.writes.push_back(std::move(next));
     out.row.listed.push_back(it);
     out.row.waiting_tokens -=
         std::min(out.row.waiting_tokens, item.request.tokens);
   }
-  if (out.transaction.writes.empty()) return std::nullopt;
-  out.transaction.writes.push_back(
-      {.name = job_row_name(run.row), .value = encode_job(out.row)});
+  if (out.row.listed.size() == before) return std::nullopt;
+  change.writes.front().value = encode_job(out.row);
   return out;
 }
 
+std::optional<output_save> next_output(const job_run& run,
+                                       const store_limits& limits,
+                                       instant now) {
+  auto piece_bytes = max_value_bytes(limits.row_bytes);
+  for (auto it = std::uint32_t{0}; it < run.items.size(); ++it) {
+    const auto& item = run.items[it];
+    auto all = is_listable(item, now) ? count_pieces(item, limits) : 0;
+    if (item.stored_pieces >= all) continue;
+    auto out = output_save{.item = it, .pieces = item.stored_pieces};
+    out.transaction.expected = {
+        {.name = job_row_name(run.row), .version = run.row.version}};
+    for (; out.pieces < all; ++out.pieces) {
+      auto next = written_row{.name = output_row_name(run.row, it, out.pieces),
+                              .value = item.progress.output.substr(
+                                  out.pieces * piece_bytes, piece_bytes)};
+      if (!has_room(out.transaction, next, limits)) break;
+      out.transaction.writes.push_back(std::move(next));
+    }
+    return out;
+  }
+  return std::nullopt;
+}
+
+void note_refusal(job_item& item, instant now) {
+  item.list_after = now + refused_list_delay;
+}
+
+void note_refusal(job_run& run, const listing& refused, instant now) {
+  auto n = refused.row.listed.size() - run.row.listed.size();
+  if (n > 1) {
+    run.max_listed = n / 2;
+    return;
+  }
+  note_refusal(run.items[refused.row.listed.back()], now);
+  run.max_listed = std::numeric_limits<std::size_t>::max();
+}
+
 std::optional<progress_save> next_save(const job_run& run,
                                        std::uint64_t min_events,
-                                       std::size_t max_bytes) {
+                                       const store_limits& limits) {
   auto out = progress_save();
   out.transaction.expected = {
       {.name = job_row_name(run.row), .version = run.row.version}};
-  auto bytes = std::size_t{0};
   for (auto it = std::uint32_t{0}; it < run.items.size(); ++it) {
+    if (out.items.size() >= run.max_saved) break;
     const auto& item = run.items[it];
     auto open =
         item.state == item_state::running || item.state == item_state::waiting;
     auto last = item.progress.last_event;
     auto failures = item.progress.failures;
+    auto failed = failures != item.saved_failures;
     // An item that began anew may have less output than was saved.
-    auto progressed = last > item.saved_event;
-    auto news = (progressed && last - item.saved_event >= min_events) ||
-                failures != item.saved_failures;
-    if (!open || !news) continue;
-    auto value = encode_progress(item.progress);
-    if (bytes > 0 && bytes + value.size() > max_bytes) break;
-    bytes += value.size();
-    out.transaction.writes.push_back(
-        {.name = progress_row_name(run.row, it), .value = std::move(value)});
+    auto progressed =
+        last > item.saved_event && last - item.saved_event >= min_events;
+    auto fits = fits_row(item.progress, limits);
+    if (!open || !(failed || (progressed && fits))) continue;
+    auto kept = fits ? item.progress : item_progress{.failures = failures};
+    auto next = written_row{.name = progress_row_name(run.row, it),
+                            .value = encode_progress(kept)};
+    if (!has_room(out.transaction, next, limits)) break;
+    out.transaction.writes.push_back(std::move(next));
     out.items.push_back(
         {.number = it, .last_event = last, .failures = failures});
   }
@@ -200,6 +291,16 @@
   return out;
 }
 
+void note_refusal(job_run& run, const progress_save& refused) {
+  auto n = refused.items.size();
+  if (n > 1) {
+    run.max_saved = n / 2;
+    return;
+  }
+  mark_saved(run, refused);
+  run.max_saved = std::numeric_limits<std::size_t>::max();
+}
+
 void mark_saved(job_run& run, const progress_save& save) {
   for (const auto& it : save.items) {
     auto& item = run.items[it.number];
--- a/src/serving/job-store.cc
+++ b/src/serving/job-store.cc
@@ -33,10 +33,17 @@
     body = std::move(*object);
   } else {
     auto range = rows_of(job_table::bodies, job);
-    auto page = co_await in.store.read(std::move(range));
+    auto page = co_await in.store.read(range);
     if (!page.ok()) co_return page.status();
     for (const auto& it : page->rows)
       body += it.value;
+    while (page->truncated && !page->rows.empty()) {
+      range.from = page->rows.back().name.key + '\0';
+      page = co_await in.store.read(range);
+      if (!page.ok()) co_return page.status();
+      for (const auto& it : page->rows)
+        body += it.value;
+    }
   }
   co_return platform::decode_submission(body);
 }
@@ -60,17 +67,24 @@
 }
 
 task<bool> remove_job(front& in, job_row job) {
+  if (!job.object.empty()) {
+    // Before its job, which alone names it.
+    auto status = co_await in.store.drop_object(job.object);
+    if (!status.ok()) co_return false;
+  }
   for (;;) {
     auto rows = std::vector<row_name>();
-    for (const auto* table :
-         {job_table::results, job_table::bodies, job_table::partials}) {
+    auto whole = true;
+    for (const auto* table : {job_table::results, job_table::outputs,
+                              job_table::bodies, job_table::partials}) {
       auto range = rows_of(table, job);
       auto page = co_await in.store.read(std::move(range));
       if (!page.ok()) co_return false;
+      if (page->truncated) whole = false;
       for (auto& it : page->rows)
         rows.push_back(std::move(it.name));
     }
-    auto change = removal(job, std::move(rows));
+    auto change = removal(job, std::move(rows), whole);
     auto last = change.removals.back() == job_row_name(job);
     auto result = co_await in.store.commit(std::move(change));
     if (!result.ok() || !result->committed) co_return false;
--- a/src/serving/job-submission.cc
+++ b/src/serving/job-submission.cc
@@ -3,6 +3,7 @@
 
 #include <absl/strings/numbers.h>
 
+#include <algorithm>
 #include <span>
 #include <utility>
 
@@ -25,14 +26,16 @@
 /// Retry-After when a route's queue is full; one item takes seconds to run.
 constexpr auto queue_full_retry_after = std::chrono::milliseconds(1000);
 
-/// Size of one row of a body. Its base64 form must not exceed the store's limit
-/// on a row's value either.
-constexpr std::size_t body_piece_bytes = std::size_t{48} * 1024;
-
 /// Larger bodies are stored as objects: a transaction is limited to 1 MB in
 /// base64.
 constexpr std::size_t max_body_in_rows = std::size_t{480} * 1024;
 
+/// Entries of an acceptance that are not pieces of the body.
+constexpr std::size_t acceptance_entries = 4;
+
+/// Longest text that follows a job's id in a row's key: an item and a piece.
+constexpr std::size_t max_id_suffix = std::string_view("/00000/00000").size();
+
 /// Limit on retries of one submission after conflicts with other acceptances.
 constexpr int max_acceptance_conflicts = 8;
 
@@ -120,7 +123,8 @@
       co_return acceptance_outcome::over_limit;
     auto order = it.ordered ? std::optional(quota_counter) : std::nullopt;
     auto result = co_await in.store.commit(
-        acceptance(it.job, order, it.tokens, pieces, body_piece_bytes));
+        acceptance(it.job, order, it.tokens, pieces,
+                   max_value_bytes(in.settings.limits.row_bytes)));
     if (!result.ok()) {
       auto unknown = outcome_of(result.status()) != outcome::not_run;
       if (!unknown && retries == 0) co_return acceptance_outcome::not_run;
@@ -255,15 +259,51 @@
   return out;
 }
 
+/// \return whether a body fits into the rows of one transaction.
+bool fits_rows(std::size_t body_bytes, const store_limits& limits) {
+  auto pieces = limits.entries - acceptance_entries;
+  return body_bytes <=
+         std::min(max_body_in_rows, pieces * max_value_bytes(limits.row_bytes));
+}
+
 /// Stores a body that is too large for rows as an object.
 /// \return false when the store did not confirm it.
 task<bool> store_large_body(front& in, job_row& job, std::string body) {
-  if (body.size() <= max_body_in_rows) co_return true;
+  if (fits_rows(body.size(), in.settings.limits)) co_return true;
   job.object = concat("job-", job.id, "-", in.incarnation);
   auto status = co_await in.store.put_object(job.object, std::move(body));
+  if (!status.ok()) {
+    auto why = std::string(status.message());
+    in.log.add("body_not_stored", {{"job", job.id}, {"why", why}});
+  }
   co_return status.ok();
 }
 
+/// Drops the object of a job that was not accepted with it.
+task<void> drop_unused_object(front& in, submission it,
+                              acceptance_outcome how) {
+  if (it.job.object.empty() || how == acceptance_outcome::yes ||
+      how == acceptance_outcome::unknown)
+    co_return;
+  // A lost response may have been that of the acceptance.
+  const auto* known = find_job(in.book, it.job.id);
+  if (known != nullptr && known->object == it.job.object) co_return;
+  auto status = co_await in.store.drop_object(it.job.object);
+  if (status.ok()) co_return;
+  auto why = std::string(status.message());
+  in.log.add("object_not_dropped", {{"object", it.job.object}, {"why", why}});
+}
+
+/// \return why the store can never keep a job; OK if it can.
+absl::Status check_storable(const submission& it, std::size_t body_bytes,
+                            const store_limits& limits) {
+  if (it.job.id.size() + max_id_suffix > limits.name_bytes)
+    return make_error(error_code::bad_request, "the job's id is too long");
+  if (!fits_rows(body_bytes, limits) && body_bytes > limits.object_bytes)
+    return make_error(error_code::too_large, "the job's body is too large");
+  return absl::OkStatus();
+}
+
 /// Starts a job that this daemon accepted, unless it has ended or changed owner
 /// in the meantime.
 void start_accepted_job(front& in, job_row job,
@@ -286,6 +326,7 @@
   at->ended.notify();
   if (how == acceptance_outcome::yes)
     start_accepted_job(in, at->it.job, std::move(at->items));
+  co_await drop_unused_object(in, at->it, how);
 }
 
 /// Accepts a job here, or through another daemon when the store is slow or
@@ -337,6 +378,12 @@
   at->client = client;
   at->it = make_submission(in, host_of(*client), id, path, *items);
   at->items = std::move(*items);
+  auto storable =
+      check_storable(at->it, request.body.size(), in.settings.limits);
+  if (!storable.ok()) {
+    refuse_malformed(in, *client, id, storable);
+    co_return;
+  }
   auto how = co_await accept_or_forward(in, at);
   answer_submission(*client, how);
 }
--- a/src/serving/job-system.cc
+++ b/src/serving/job-system.cc
@@ -91,6 +91,14 @@
   return true;
 }
 
+/// \return whether the output would be longer than a result may be.
+bool is_too_long(front& in, const item_attempt& it, const stream_event& event) {
+  auto* run = find_run(in, it.job, it.serial);
+  if (run == nullptr) return false;
+  const auto& output = run->items[it.item].progress.output;
+  return output.size() + event.data.size() >= max_output_bytes;
+}
+
 /// The outcome of an attempt that this daemon stopped.
 attempt_end end_of_stopped(const live_attempt& it) {
   return it.withdrawn ? attempt_end::queued : attempt_end::preempted;
@@ -110,6 +118,10 @@
     events.feed(*piece);
     while (auto event = events.next()) {
       auto before = it.last_event;
+      if (is_too_long(in, it, *event)) {
+        link.close();
+        co_return attempt_end::too_long;
+      }
       if (!append_event(in, it, *event, origin)) {
         link.close();
         co_return attempt_end::broken;
--- a/src/serving/job-writes.cc
+++ b/src/serving/job-writes.cc
@@ -13,9 +13,6 @@
 namespace fulmar::serving {
 namespace {
 
-/// Size of the results in one transaction, which is limited to 1 MB in base64.
-constexpr std::size_t max_listing_bytes = std::size_t{600} * 1024;
-
 /// Retry delay after a failed transaction; outages of the store last seconds.
 constexpr auto listing_retry_delay = std::chrono::milliseconds(200);
 
@@ -51,34 +48,70 @@
   return false;
 }
 
-task<void> list_results(front& in, std::string job, std::uint64_t serial) {
+task<void> list_results(front& in, std::string job, std::uint64_t serial,
+                        listing next) {
+  auto result = co_await in.store.commit(next.transaction);
   auto* run = find_run(in, job, serial);
-  auto next = next_listing(*run, max_listing_bytes);
-  auto before = run->row.listed.size();
-  auto result = co_await in.store.commit(std::move(next->transaction));
-  run = find_run(in, job, serial);
   if (run == nullptr) co_return;
   run->listing = false;
+  auto before = run->row.listed.size();
   if (!result.ok()) {
-    run->list_after = event_loop::steady() + listing_retry_delay;
+    auto now = event_loop::steady();
+    run->list_after = now + listing_retry_delay;
+    auto refused = is_refusal(result.status());
+    if (refused) note_refusal(*run, next, now);
     auto why = std::string(result.status().message());
-    in.log.add("listing_failed", {{"job", job}, {"why", why}});
+    in.log.add("listing_failed",
+               {{"job", job},
+                {"results", std::uint64_t{next.row.listed.size() - before}},
+                {"refused", refused},
+                {"why", why}});
     co_return;
   }
   if (result->committed) {
-    next->row.version = result->version;
-    update_known_job(in, next->row);
-    in.log.add("results_listed",
-               {{"job", job},
-                {"from", std::uint64_t{before}},
-                {"to", std::uint64_t{next->row.listed.size()}},
-                {"version", result->version}});
-    if (!apply_row(*run, next->row)) drop_run(in, job, "complete");
+    run->max_listed = std::numeric_limits<std::size_t>::max();
+    next.row.version = result->version;
+    update_known_job(in, next.row);
+    in.log.add("results_listed", {{"job", job},
+                                  {"from", std::uint64_t{before}},
+                                  {"to", std::uint64_t{next.row.listed.size()}},
+                                  {"version", result->version}});
+    if (!apply_row(*run, next.row)) drop_run(in, job, "complete");
     co_return;
   }
   apply_conflict(in, job, *run, *result);
 }
 
+/// Stores pieces of an output that is too long for a row.
+task<void> store_output(front& in, std::string job, std::uint64_t serial,
+                        output_save save) {
+  auto result = co_await in.store.commit(std::move(save.transaction));
+  auto* run = find_run(in, job, serial);
+  if (run == nullptr) co_return;
+  run->listing = false;
+  auto& item = run->items[save.item];
+  if (!result.ok()) {
+    auto now = event_loop::steady();
+    run->list_after = now + listing_retry_delay;
+    auto refused = is_refusal(result.status());
+    if (refused) note_refusal(item, now);
+    auto why = std::string(result.status().message());
+    in.log.add("output_not_stored", {{"job", job},
+                                     {"item", item.request.id},
+                                     {"refused", refused},
+                                     {"why", why}});
+    co_return;
+  }
+  if (!result->committed) {
+    apply_conflict(in, job, *run, *result);
+    co_return;
+  }
+  item.stored_pieces = save.pieces;
+  in.log.add("output_stored", {{"job", job},
+                               {"item", item.request.id},
+                               {"pieces", std::uint64_t{save.pieces}}});
+}
+
 task<void> save_progress(front& in, std::string job, std::uint64_t serial,
                          progress_save save) {
   auto result = co_await in.store.commit(std::move(save.transaction));
@@ -89,13 +122,19 @@
   if (!result.ok() || !result->committed) {
     // The next save includes the progress that this one did not write.
     run->save_retry_after = event_loop::steady() + save_retry_delay;
+    auto refused = !result.ok() && is_refusal(result.status());
+    if (refused) note_refusal(*run, save);
     auto why = result.ok() ? std::string("concurrent change of the job's row")
                            : std::string(result.status().message());
-    in.log.add("saving_failed", {{"job", job}, {"why", why}});
+    in.log.add("saving_failed", {{"job", job},
+                                 {"items", std::uint64_t{save.items.size()}},
+                                 {"refused", refused},
+                                 {"why", why}});
     if (result.ok()) apply_conflict(in, job, *run, *result);
     co_return;
   }
   mark_saved(*run, save);
+  run->max_saved = std::numeric_limits<std::size_t>::max();
   in.log.add("progress_saved", {{"job", job},
                                 {"items", std::uint64_t{save.items.size()}},
                                 {"version", result->version}});
@@ -109,9 +148,11 @@
   auto next = run->row;
   next.owner = {.data_centre = in.settings.data_centre};
   auto change = job_change(run->row, next);
-  if (auto save = next_save(*run, 1, max_listing_bytes)) {
-    std::move(save->transaction.writes.begin(), save->transaction.writes.end(),
-              std::back_inserter(change.writes));
+  if (auto save = next_save(*run, 1, in.settings.limits)) {
+    for (auto& it : save->transaction.writes) {
+      if (!has_room(change, it, in.settings.limits)) break;
+      change.writes.push_back(std::move(it));
+    }
   }
   auto result = co_await in.store.commit(std::move(change));
   auto done = result.ok() && result->committed;
@@ -142,11 +183,19 @@
 }
 
 void start_listings(front& in, instant now) {
+  const auto& limits = in.settings.limits;
   for (auto& [id, run] : in.runs) {
     if (run.listing || now < run.list_after) continue;
     if (!has_item(run, item_state::finished)) continue;
-    run.listing = true;
-    asio::co_spawn(in.io, list_results(in, id, run.serial), report_failure);
+    if (auto next = next_listing(run, limits, now)) {
+      run.listing = true;
+      asio::co_spawn(in.io, list_results(in, id, run.serial, std::move(*next)),
+                     report_failure);
+    } else if (auto save = next_output(run, limits, now)) {
+      run.listing = true;
+      asio::co_spawn(in.io, store_output(in, id, run.serial, std::move(*save)),
+                     report_failure);
+    }
   }
 }
 
@@ -158,7 +207,7 @@
     auto min_events = now < run.save_after
                           ? std::numeric_limits<std::uint64_t>::max()
                           : min_saved_events;
-    auto save = next_save(run, min_events, max_listing_bytes);
+    auto save = next_save(run, min_events, in.settings.limits);
     if (!save) continue;
     run.saving = true;
     asio::co_spawn(in.io, save_progress(in, id, run.serial, std::move(*save)),
--- a/src/serving/jobs.cc
+++ b/src/serving/jobs.cc
@@ -113,6 +113,21 @@
           .key = numbered_key(it, item)};
 }
 
+row_name output_row_name(const job_row& it, std::uint32_t item,
+                         std::uint32_t piece) {
+  return {
+      .table = job_table::outputs,
+      .part = it.host,
+      .key = concat(numbered_key(it, item), "/", padded(piece, key_digits))};
+}
+
+row_range output_rows_of(const job_row& it, std::uint32_t item) {
+  return {.table = job_table::outputs,
+          .part = it.host,
+          .from = concat(numbered_key(it, item), "/"),
+          .to = concat(numbered_key(it, item), "0")};
+}
+
 row_range rows_of(const char* table, const job_row& job) {
   return {.table = table,
           .part = job.host,
@@ -128,7 +143,10 @@
 }
 
 std::string encode_result(const item_result& it) {
-  return concat(name_in(item_end_names, it.end), "\n", it.id, "\n", it.output);
+  auto pieces =
+      it.pieces > 0 ? concat(" ", it.pieces, " ", it.item) : std::string();
+  return concat(name_in(item_end_names, it.end), pieces, "\n", it.id, "\n",
+                it.output);
 }
 
 absl::StatusOr<item_result> decode_result(std::string_view text) {
@@ -137,13 +155,22 @@
       first == std::string_view::npos ? first : text.find('\n', first + 1);
   if (second == std::string_view::npos)
     return make_error(error_code::bad_request, "malformed result");
-  auto end = value_in(item_end_names, text.substr(0, first));
+  auto fields = std::vector<std::string>(
+      absl::StrSplit(absl::string_view(text.data(), first), ' '));
+  constexpr std::size_t fields_with_pieces = 3;
+  auto end = value_in(item_end_names, fields[0]);
   if (!end)
     return make_error(error_code::bad_request, "result with unknown end");
-  return item_result{
-      .id = std::string(text.substr(first + 1, second - first - 1)),
-      .end = *end,
-      .output = std::string(text.substr(second + 1))};
+  auto out =
+      item_result{.id = std::string(text.substr(first + 1, second - first - 1)),
+                  .end = *end,
+                  .output = std::string(text.substr(second + 1))};
+  if (fields.size() == 1) return out;
+  if (fields.size() != fields_with_pieces ||
+      !absl::SimpleAtoi(fields[1], &out.pieces) ||
+      !absl::SimpleAtoi(fields[2], &out.item))
+    return make_error(error_code::bad_request, "malformed result");
+  return out;
 }
 
 std::string encode_progress(const item_progress& it) {
@@ -252,12 +279,13 @@
   return !it.open() && store_now > it.accepted + lifetime + margin;
 }
 
-row_transaction removal(const job_row& job, std::vector<row_name> rows) {
+row_transaction removal(const job_row& job, std::vector<row_name> rows,
+                        bool whole) {
   // The store allows 100 entries per transaction, including the condition and
   // the job's own row.
   constexpr std::size_t max_rows = 98;
-  auto last = rows.size() <= max_rows;
-  if (!last) rows.resize(max_rows);
+  auto last = whole && rows.size() <= max_rows;
+  if (rows.size() > max_rows) rows.resize(max_rows);
   if (last) rows.push_back(job_row_name(job));
   return {.expected = {{.name = job_row_name(job), .version = job.version}},
           .removals = std::move(rows)};
--- a/test/job-run-test.cc
+++ b/test/job-run-test.cc
@@ -1,5 +1,6 @@
 #include "fulmarpitch/serving/job-run.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <limits>
 
@@ -11,6 +12,8 @@
 
 namespace {
 
+constexpr auto limits = store_limits();
+
 job_run sample(const std::string& id = "j1", instant accepted = 0s) {
   auto row = job_row{.id = id,
                      .host = "h",
@@ -140,13 +143,13 @@
 
 TEST_CASE("finished items are listed once, in one transaction") {
   auto run = sample();
-  CHECK_FALSE(next_listing(run, 1000));
+  CHECK_FALSE(next_listing(run, limits, 0s));
   for (auto it : {2, 0}) {
     auto& item = running(run, static_cast<std::size_t>(it));
     item.progress = {.last_event = 1, .output = "out"};
     end_attempt(item, attempt_end::complete, true, 1, 0s);
   }
-  auto first = next_listing(run, 1000);
+  auto first = next_listing(run, limits, 0s);
   REQUIRE(first);
   CHECK(first->row.listed == std::vector<std::uint32_t>{0, 2});
   CHECK(first->row.waiting_tokens == 10);
@@ -156,19 +159,193 @@
   first->row.version = 5;
   CHECK(apply_row(run, first->row));
   CHECK(run.items[0].state == item_state::listed);
-  CHECK_FALSE(next_listing(run, 1000));
+  CHECK_FALSE(next_listing(run, limits, 0s));
 }
 
-TEST_CASE("a listing has at least one result and otherwise bounded size") {
+TEST_CASE("a listing and a save stay within the store's limits") {
+  constexpr auto small = store_limits{.call_bytes = 2500};
   auto run = sample();
   for (auto it : {0, 1}) {
     auto& item = running(run, static_cast<std::size_t>(it));
-    item.progress = {.last_event = 1, .output = std::string(500, 'x')};
-    end_attempt(item, attempt_end::complete, true, 1, 0s);
+    item.progress = {.last_event = 50, .output = std::string(800, 'x')};
   }
-  auto it = next_listing(run, 10);
+  auto save = next_save(run, 20, small);
+  REQUIRE(save);
+  CHECK(save->items.size() == 1);
+  CHECK(check_limits(save->transaction, small).ok());
+  for (auto it : {0, 1})
+    end_attempt(run.items[static_cast<std::size_t>(it)], attempt_end::complete,
+                true, 1, 0s);
+  auto it = next_listing(run, small, 0s);
   REQUIRE(it);
   CHECK(it->row.listed.size() == 1);
+  CHECK(check_limits(it->transaction, small).ok());
+}
+
+namespace {
+
+/// A job of many items whose rows have the longest names and values.
+job_run large_job(std::uint32_t items) {
+  auto row = job_row{.id = std::string(180, 'j'),
+                     .host = "h",
+                     .route = "r",
+                     .items = items,
+                     .waiting_tokens = items,
+                     .owner = {.name = "vm#1"},
+                     .version = 4};
+  auto submitted = std::vector<submitted_item>();
+  for (auto n = std::uint32_t{0}; n < items; ++n)
+    submitted.push_back({.id = std::to_string(n), .path = "/p", .tokens = 1});
+  return start_run(std::move(row), std::move(submitted));
+}
+
+/// Lists all finished items as the store would.
+/// \return the number of transactions.
+std::size_t list_all(job_run& run, const store_limits& limits) {
+  for (auto n = std::size_t{0};; ++n) {
+    if (auto next = next_listing(run, limits, 0s)) {
+      CHECK(check_limits(next->transaction, limits).ok());
+      ++next->row.version;
+      apply_row(run, next->row);
+    } else if (auto save = next_output(run, limits, 0s)) {
+      CHECK(check_limits(save->transaction, limits).ok());
+      REQUIRE(save->pieces > run.items[save->item].stored_pieces);
+      run.items[save->item].stored_pieces = save->pieces;
+    } else {
+      return n;
+    }
+  }
+}
+
+}  // namespace
+
+// An outage of the store, or maxWaitS, ends all items of a job at once.
+TEST_CASE("all results of a job that ends at once are listed") {
+  constexpr std::uint32_t items = 200;
+  auto run = large_job(items);
+  SECTION("dead") {
+    fail_waiting_items(run);
+  }
+  SECTION("done") {
+    for (auto& it : run.items) {
+      it.progress = {.last_event = 1, .output = std::string(9000, 'x')};
+      end_attempt(it, attempt_end::complete, true, 1, 0s);
+    }
+  }
+  CHECK(list_all(run, limits) >= 3);
+  CHECK(run.row.listed.size() == items);
+  CHECK(run.row.waiting_tokens == 0);
+}
+
+// Failures in an outage hold their items until they are saved.
+TEST_CASE("all failures of a job are saved") {
+  auto run = large_job(200);
+  for (auto& it : run.items)
+    end_attempt(it, attempt_end::failed, false, 6, 0s);
+  auto saved = std::size_t{0};
+  while (auto save = next_save(run, 20, limits)) {
+    CHECK(check_limits(save->transaction, limits).ok());
+    saved += save->items.size();
+    mark_saved(run, *save);
+  }
+  CHECK(saved == run.items.size());
+}
+
+TEST_CASE("an output that is longer than a row is stored in pieces") {
+  auto size = GENERATE(49'000, 49'152, 100'000, 899'999);
+  auto run = sample();
+  auto& item = running(run, 1);
+  item.progress = {.last_event = 9,
+                   .output = std::string(static_cast<std::size_t>(size), 'x')};
+  end_attempt(item, attempt_end::complete, true, 1, 0s);
+  auto& other = running(run, 2);
+  other.progress = {.last_event = 1, .output = "y"};
+  end_attempt(other, attempt_end::complete, true, 1, 0s);
+  auto first = next_listing(run, limits, 0s);
+  REQUIRE(first);
+  if (size > 49'000) CHECK(first->row.listed == std::vector<std::uint32_t>{2});
+  auto text = std::string();
+  while (auto save = next_output(run, limits, 0s)) {
+    for (const auto& it : save->transaction.writes)
+      text += it.value;
+    run.items[save->item].stored_pieces = save->pieces;
+  }
+  list_all(run, limits);
+  CHECK(run.row.listed.size() == 2);
+  if (size > 49'000) CHECK(text.size() == static_cast<std::size_t>(size));
+}
+
+TEST_CASE("a result that the store refuses holds up no others") {
+  auto run = large_job(8);
+  fail_waiting_items(run);
+  constexpr std::uint32_t bad = 5;
+  auto listed = std::size_t{0};
+  for (auto n = 0; n < 20; ++n) {
+    auto next = next_listing(run, limits, 0s);
+    if (!next) break;
+    auto from = next->row.listed.begin() +
+                static_cast<std::ptrdiff_t>(run.row.listed.size());
+    if (std::find(from, next->row.listed.end(), bad) !=
+        next->row.listed.end()) {
+      note_refusal(run, *next, 0s);
+      continue;
+    }
+    ++next->row.version;
+    apply_row(run, next->row);
+    listed = run.row.listed.size();
+  }
+  CHECK(listed == 7);
+  CHECK_FALSE(next_listing(run, limits, 9s));
+  CHECK(next_listing(run, limits, 10s));
+}
+
+TEST_CASE("a failure that the store refuses to save holds up no others") {
+  auto run = large_job(5);
+  for (auto& it : run.items)
+    end_attempt(it, attempt_end::failed, false, 6, 0s);
+  auto is_bad = [](const progress_save& save) {
+    return std::any_of(save.items.begin(), save.items.end(),
+                       [](const auto& it) { return it.number == 3; });
+  };
+  for (auto n = 0; n < 20; ++n) {
+    auto save = next_save(run, 20, limits);
+    if (!save) break;
+    if (is_bad(*save)) {
+      note_refusal(run, *save);
+    } else {
+      mark_saved(run, *save);
+    }
+  }
+  CHECK_FALSE(next_save(run, 20, limits));
+}
+
+TEST_CASE("an output that no result may hold is dropped, and its item waits") {
+  auto run = sample();
+  auto& item = running(run, 0);
+  item.progress = {.last_event = 9, .output = "x", .failures = 1};
+  end_attempt(item, attempt_end::too_long, true, 3, 0s);
+  CHECK(item.state == item_state::waiting);
+  CHECK(item.progress.last_event == 0);
+  CHECK(item.progress.failures == 1);
+  auto first = item.not_before;
+  CHECK(first > 0s);
+  end_attempt(running(run, 0), attempt_end::too_long, true, 3, 0s);
+  CHECK(item.not_before > first);
+}
+
+TEST_CASE("output that is longer than a row is not saved, its failures are") {
+  auto run = sample();
+  auto& item = running(run, 0);
+  item.progress = {.last_event = 500, .output = std::string(60'000, 'x')};
+  CHECK_FALSE(next_save(run, 20, limits));
+  item.progress.failures = 1;
+  auto save = next_save(run, 20, limits);
+  REQUIRE(save);
+  auto kept = decode_progress(save->transaction.writes.at(0).value);
+  REQUIRE(kept.ok());
+  CHECK(kept->failures == 1);
+  CHECK(kept->last_event == 0);
+  CHECK(kept->output.empty());
 }
 
 TEST_CASE("a newer row with another owner or an ended job ends the run") {
@@ -204,13 +381,13 @@
 
 TEST_CASE("output is saved after a minimum of new events") {
   auto run = sample();
-  CHECK_FALSE(next_save(run, 20, 1000));
+  CHECK_FALSE(next_save(run, 20, limits));
   running(run, 0).progress = {.last_event = 19, .output = "x"};
-  CHECK_FALSE(next_save(run, 20, 1000));
+  CHECK_FALSE(next_save(run, 20, limits));
   run.items[0].progress.last_event = 20;
   // Preempted items are saved, too.
   run.items[1].progress = {.last_event = 50, .output = "y"};
-  auto save = next_save(run, 20, 1000);
+  auto save = next_save(run, 20, limits);
   REQUIRE(save);
   using saved = std::vector<progress_save::item>;
   CHECK(save->items == saved{{.number = 0, .last_event = 20},
@@ -225,11 +402,12 @@
   CHECK(kept->output == "y");
   CHECK(kept->last_event == 50);
   mark_saved(run, *save);
-  CHECK_FALSE(next_save(run, 20, 1000));
+  CHECK_FALSE(next_save(run, 20, limits));
   // A minimum that is not reached prevents the save, whatever the output.
   run.items[1].progress.last_event = 90;
-  CHECK_FALSE(next_save(run, std::numeric_limits<std::uint64_t>::max(), 1000));
-  CHECK(next_save(run, 20, 1000));
+  CHECK_FALSE(
+      next_save(run, std::numeric_limits<std::uint64_t>::max(), limits));
+  CHECK(next_save(run, 20, limits));
 }
 
 TEST_CASE("finished items are listed, not saved, and a save has bounded size") {
@@ -237,7 +415,7 @@
   for (auto& it : run.items)
     it.progress = {.last_event = 50, .output = std::string(100, 'x')};
   run.items[0].state = item_state::finished;
-  auto save = next_save(run, 20, 120);
+  auto save = next_save(run, 20, {.entries = 2});
   REQUIRE(save);
   REQUIRE(save->items.size() == 1);
   CHECK(save->items[0].number == 1);
@@ -273,14 +451,14 @@
   end_attempt(running(run, 0), attempt_end::failed, false, 6, 0s);
   CHECK_FALSE(next_item(runs, 5s, 5s));
   // Failures are saved regardless of the minimum number of events.
-  auto save = next_save(run, std::numeric_limits<std::uint64_t>::max(), 1000);
+  auto save = next_save(run, std::numeric_limits<std::uint64_t>::max(), limits);
   REQUIRE(save);
   auto kept = decode_progress(save->transaction.writes.at(0).value);
   REQUIRE(kept.ok());
   CHECK(kept->failures == 1);
   mark_saved(run, *save);
   CHECK(next_item(runs, 5s, 5s));
-  CHECK_FALSE(next_save(run, 20, 1000));
+  CHECK_FALSE(next_save(run, 20, limits));
 }
 
 TEST_CASE("a job that ends stops its items while a listing is in flight") {
@@ -334,9 +512,9 @@
   CHECK(item.progress.output.empty());
   CHECK(item.progress.failures == 2);
   CHECK(item.progress.origin.service.empty());
-  CHECK_FALSE(next_save(run, 20, 1000));
+  CHECK_FALSE(next_save(run, 20, limits));
   item.progress.last_event = 59;
-  CHECK_FALSE(next_save(run, 20, 1000));
+  CHECK_FALSE(next_save(run, 20, limits));
   item.progress.last_event = 60;
-  CHECK(next_save(run, 20, 1000));
+  CHECK(next_save(run, 20, limits));
 }
--- a/test/serving-jobs-test.cc
+++ b/test/serving-jobs-test.cc
@@ -119,6 +119,26 @@
   auto many = removal(job, std::vector<row_name>(300, result_row_name(job, 1)));
   CHECK(many.removals.size() + many.expected.size() < 100);
   CHECK_FALSE(many.removals.back() == job_row_name(job));
+  // A page of long rows ends early; the job's own row goes with the last.
+  auto page = removal(job, {result_row_name(job, 0)}, false);
+  CHECK(page.removals.size() == 1);
+}
+
+TEST_CASE("a result names the pieces of a long output") {
+  auto it = decode_result(encode_result(
+      {.id = "i1", .end = item_end::done, .pieces = 3, .item = 17}));
+  REQUIRE(it.ok());
+  CHECK(it->pieces == 3);
+  CHECK(it->item == 17);
+  CHECK(it->output.empty());
+  const auto* malformed = GENERATE("done 3\ni1\n", "done 3 x\ni1\n",
+                                   "done -1 2\ni1\n", "done 1 2 3\ni1\n");
+  CHECK_FALSE(decode_result(malformed).ok());
+  auto range = output_rows_of(sample(), 17);
+  auto row = output_row_name(sample(), 17, 2);
+  CHECK(row.key >= range.from);
+  CHECK(row.key < range.to);
+  CHECK(output_row_name(sample(), 18, 0).key >= range.to);
 }
 
 TEST_CASE(
--- a/test/store-limits-test.cc
+++ b/test/store-limits-test.cc
@@ -163,3 +163,107 @@
   }
   CHECK(refused >= 3);
 }
+
+// A job of up to 200 items may end at once after an outage.
+TEST_CASE("all results that finish while the store is away are listed") {
+  constexpr std::size_t items = 150;
+  auto& it = make_fixture();
+  for (auto n = 0; n < 20; ++n)
+    it.add_target(whole);
+  it.start();
+  REQUIRE(it.post("/jobs/1", "j1", job_body(1, "prompt", items))->status ==
+          202);
+  it.store.set_fault(store_fault::down);
+  auto finished = [&] {
+    auto n = std::size_t{0};
+    for (const auto& target : it.targets)
+      n += target.heads.size();
+    return n >= items;
+  };
+  it.until(finished);
+  REQUIRE(finished());
+  it.store.set_fault(store_fault::none);
+  it.until([&] { return all_results(it, "j1").size() == items; });
+  CHECK(all_results(it, "j1").size() == items);
+  CHECK(it.store.refused_calls() == 0);
+}
+
+// The same transaction is built when maxWaitS passes for a whole job.
+TEST_CASE("all items that can never be done are listed as dead") {
+  constexpr std::size_t items = 200;
+  auto& it = make_fixture();
+  auto reject = [](const std::string& head) {
+    return scripted_answer{
+        .bytes =
+            concat("HTTP/1.1 422 No\r\nFulmarpitch-Attempt-Id: ", id_of(head),
+                   "\r\nFulmarpitch-Server-Stamp: s\r\n"
+                   "Content-Length: 0\r\n\r\n")};
+  };
+  for (auto n = 0; n < 20; ++n)
+    it.add_target(reject);
+  it.start();
+  REQUIRE(it.post("/jobs/1", "j1", job_body(1, "prompt", items))->status ==
+          202);
+  it.store.set_fault(store_fault::busy);
+  it.run_for(2500ms);
+  it.store.set_fault(store_fault::none);
+  it.until([&] { return all_results(it, "j1").size() == items; });
+  CHECK(all_results(it, "j1").size() == items);
+  CHECK(it.store.refused_calls() == 0);
+}
+
+namespace {
+
+/// \return an answer whose events hold a text of `bytes` in all.
+scripted_answer long_answer(const std::string& head, std::size_t bytes) {
+  auto out = stream_head(id_of(head));
+  for (auto n = first_event(head); n <= last_event; ++n) {
+    auto data = std::string(bytes / last_event, static_cast<char>('a' + n));
+    out += chunk(concat("id: ", n, "\ndata: ", data, "\n\n"));
+  }
+  return {.bytes = out + "0\r\n\r\n"};
+}
+
+}  // namespace
+
+TEST_CASE("an output that is longer than a row is listed whole") {
+  constexpr std::size_t bytes = 200'000;
+  auto& it = make_fixture();
+  it.add_target([](const std::string& head) {
+    return id_of(head) == "i2" ? long_answer(head, bytes) : whole(head);
+  });
+  it.start();
+  REQUIRE(it.post("/jobs/1", "j1", job_body(1, "prompt", 3))->status == 202);
+  it.until([&] { return all_results(it, "j1").size() == 3; });
+  auto results = all_results(it, "j1");
+  REQUIRE(results.size() == 3);
+  for (const auto& row : results) {
+    CHECK(row.at("state") == "done");
+    auto size = row.at("output").as_string().size();
+    if (row.at("id") == "i2") {
+      CHECK(size == bytes + last_event - 1);
+    } else {
+      CHECK(row.at("output") == "d1\nd2\nd3\nd4");
+    }
+  }
+  CHECK(it.store.refused_calls() == 0);
+}
+
+TEST_CASE("a job that the store can never keep is refused at once") {
+  auto& it = make_fixture();
+  it.add_target(whole);
+  it.start();
+  auto id = std::string(190, 'j');
+  CHECK(it.post("/jobs/1", id, job_body(1))->status == 400);
+  CHECK(it.store.refused_calls() == 0);
+}
+
+TEST_CASE("the body of a job that is refused leaves no object") {
+  auto& it = make_fixture();
+  it.add_target(whole);
+  it.start();
+  auto prompt = std::string(400'000, 'p');
+  CHECK(it.post("/jobs/1", "j1", job_body(900, prompt))->status == 429);
+  it.until([&] { return it.store.objects() == 0; });
+  CHECK(it.store.objects() == 0);
+}
