Put aside rows of streams and crashes that the store refuses

Cause: begun streams and crash records are written in batches, and a batch that failed was sent again as it was. One attempt id of over 200 bytes, which no key may have, kept back all later streams of its daemon: their take-ups were refused.

Change: a batch that the store refuses for good is halved; a row that is refused alone is dropped with a log line. Rows of versions wait 10 s and the cause is logged.

Result: store-limits-test, "a stream whose id is too long for a key holds up no other", holds; built with the daemon as it stood, it did not record the other stream.

--- a/src/serving/crash-system.cc
+++ b/src/serving/crash-system.cc
@@ -71,16 +71,28 @@
   auto result = co_await in.store.commit(std::move(transaction));
   auto& rows = in.crash_rows;
   rows.writing = false;
-  if (result.ok() && result->committed) co_return;
+  if (result.ok() && result->committed) {
+    rows.max_changes = max_transaction_rows;
+    co_return;
+  }
+  auto refused = !result.ok() && is_refusal(result.status());
+  rows.max_changes = refused ? std::max<std::size_t>(changes.size() / 2, 1)
+                             : max_transaction_rows;
+  // A row that is refused alone holds up the others.
+  auto dropped = refused && changes.size() == 1;
   // Writing the rows again is harmless if the store did commit them.
-  rows.pending.insert(rows.pending.begin(),
-                      std::make_move_iterator(changes.begin()),
-                      std::make_move_iterator(changes.end()));
+  if (!dropped) {
+    rows.pending.insert(rows.pending.begin(),
+                        std::make_move_iterator(changes.begin()),
+                        std::make_move_iterator(changes.end()));
+  }
   rows.retry_after = event_loop::steady() + write_retry_delay;
   auto why = result.ok() ? std::string("the store rejected the transaction")
                          : std::string(result.status().message());
   in.log.add("crash_rows_not_written",
-             {{"rows", std::uint64_t{rows.pending.size()}}, {"why", why}});
+             {{"rows", std::uint64_t{rows.pending.size()}},
+              {"dropped", dropped},
+              {"why", why}});
 }
 
 /// Identifies one end of a target. Several requests with the same content may
@@ -251,7 +263,8 @@
   auto& rows = in.crash_rows;
   if (rows.writing || rows.pending.empty() || now < rows.retry_after) return;
   rows.writing = true;
-  auto n = std::min(rows.pending.size(), max_transaction_rows);
+  auto n =
+      std::min({rows.pending.size(), max_transaction_rows, rows.max_changes});
   auto end = rows.pending.begin() + static_cast<std::ptrdiff_t>(n);
   auto changes = std::vector(std::make_move_iterator(rows.pending.begin()),
                              std::make_move_iterator(end));
--- a/src/serving/front.h
+++ b/src/serving/front.h
@@ -8,6 +8,7 @@
 #include <absl/container/flat_hash_set.h>
 
 #include <deque>
+#include <limits>
 #include <list>
 #include <memory>
 #include <optional>
@@ -113,6 +114,8 @@
 struct crash_row_queue {
   std::deque<crash_row_change> pending;
   bool writing = false;
+  /// Most changes in one transaction; lowered while the store refuses them.
+  std::size_t max_changes = std::numeric_limits<std::size_t>::max();
   /// Earliest time of the next write after a failed one.
   instant retry_after{};
 };
@@ -132,6 +135,8 @@
   instant resume_time{};
   bool writing = false;
   bool writing_streams = false;
+  /// Most streams in one transaction; lowered while the store refuses them.
+  std::size_t max_stream_rows = std::numeric_limits<std::size_t>::max();
   /// Earliest times of the next calls, on the steady clock.
   instant next_read{};
   instant next_write{};
--- a/src/serving/version-system.cc
+++ b/src/serving/version-system.cc
@@ -27,6 +27,9 @@
 /// Delay after a failed call; store outages last seconds.
 constexpr auto store_retry_interval = std::chrono::milliseconds(250);
 
+/// Delay after a call that the store refuses however often it is made.
+constexpr auto refused_retry_interval = std::chrono::seconds(10);
+
 /// Interval at which the reader of the targets reads the rows of versions.
 constexpr auto refresh_interval = std::chrono::seconds(5);
 
@@ -112,13 +115,24 @@
   in.versions.writing_streams = false;
   in.versions.next_stream_write =
       now + write_interval_per_member * static_cast<std::int64_t>(members);
-  if (result.ok() && result->committed) co_return;
-  put_back(in.begun, ids);
+  if (result.ok() && result->committed) {
+    in.versions.max_stream_rows = max_transaction_rows;
+    co_return;
+  }
+  auto refused = !result.ok() && is_refusal(result.status());
+  auto& most = in.versions.max_stream_rows;
+  most =
+      refused ? std::max<std::size_t>(ids.size() / 2, 1) : max_transaction_rows;
+  // A stream that is refused alone holds up the others.
+  auto dropped = refused && ids.size() == 1;
+  if (!dropped) put_back(in.begun, ids);
   in.versions.next_stream_write = now + store_retry_interval;
   auto why = result.ok() ? std::string("the store rejected the transaction")
                          : std::string(result.status().message());
   in.log.add("begun_streams_not_written",
-             {{"streams", std::uint64_t{ids.size()}}, {"why", why}});
+             {{"streams", std::uint64_t{ids.size()}},
+              {"dropped", dropped},
+              {"why", why}});
 }
 
 /// Applies a version's row.
@@ -215,7 +229,13 @@
                                     {"done", done}});
   }
   if (!done) {
-    state.next_write = event_loop::steady() + store_retry_interval;
+    auto refused = !result.ok() && is_refusal(result.status());
+    state.next_write =
+        event_loop::steady() + (refused ? instant(refused_retry_interval)
+                                        : instant(store_retry_interval));
+    auto why = std::string(result.ok() ? "the store rejected the transaction"
+                                       : result.status().message());
+    in.log.add("versions_not_written", {{"refused", refused}, {"why", why}});
     co_return;
   }
   for (const auto& it : changes.removals)
@@ -319,7 +339,7 @@
   auto ids = take_unrecorded(
       in.begun,
       [&](const std::string& service) { return must_record(in, service, now); },
-      max_transaction_rows);
+      std::min(state.max_stream_rows, max_transaction_rows));
   if (ids.empty()) {
     state.next_stream_write = now + record_check_interval;
     return;
--- a/test/store-limits-test.cc
+++ b/test/store-limits-test.cc
@@ -267,3 +267,19 @@
   it.until([&] { return it.store.objects() == 0; });
   CHECK(it.store.objects() == 0);
 }
+
+// One row that the store refuses must not keep back those of other requests.
+TEST_CASE("a stream whose id is too long for a key holds up no other") {
+  auto& it = make_fixture();
+  it.add_target(whole, "v1");
+  it.add_target(whole, "v2");
+  it.start();
+  REQUIRE(it.post("/again/1", std::string(300, 'a'))->status == 200);
+  REQUIRE(it.post("/again/2", "a2")->status == 200);
+  auto recorded = [&] {
+    return !it.store.value(begun_table, version_part, "a2").empty();
+  };
+  it.until(recorded);
+  CHECK(recorded());
+  CHECK(it.store.refused_calls() == 0);
+}
