Let a daemon that reaches the store take over jobs

Cause: the daemon that takes over a lost owner's job is chosen among all live daemons of the owner's data centre. One that cannot reach the store was chosen, too, and the others waited for it as long as it lived.

Change: only daemons that reach the store are considered, in the owner's data centre and elsewhere, and a daemon without the store takes nothing over.

--- a/include/fulmarpitch/serving/job-takeover.h
+++ b/include/fulmarpitch/serving/job-takeover.h
@@ -20,6 +20,8 @@
   std::string data_centre;
   /// Time since the process started.
   instant age{};
+  /// It cannot reach the platform's store.
+  bool store_lost = false;
 };
 
 /// Minimum age at which a daemon may consider owners lost.
@@ -35,7 +37,8 @@
 /// Tells whether this daemon should take over a job. A restarted daemon takes
 /// back the jobs of its previous incarnation at once. A job of a lost owner
 /// goes to the live daemon of the owner's data centre that rendezvous hashing
-/// selects, or to one of all daemons when none is left there.
+/// selects, or to one of all daemons when none is left there. Daemons that
+/// cannot reach the store are passed over, as they may wait for it for long.
 /// \param board the reports and summaries that this daemon received.
 /// \param now current time on the steady clock.
 bool should_take_over(const load_board& board, const takeover_candidate& self,
--- a/src/serving/job-system.cc
+++ b/src/serving/job-system.cc
@@ -411,7 +411,8 @@
   if (in.leaving) return;
   auto self = takeover_candidate{.name = in.settings.name,
                                  .data_centre = in.settings.data_centre,
-                                 .age = now - in.began};
+                                 .age = now - in.began,
+                                 .store_lost = store_lost(in)};
   auto checks_others = now >= in.next_takeover;
   if (checks_others) in.next_takeover = now + takeover_check_interval;
   for (const auto& [id, job] : in.book.jobs) {
--- a/test/job-takeover-test.cc
+++ b/test/job-takeover-test.cc
@@ -23,20 +23,24 @@
   load_board board{.data_centre = "a"};
   std::uint64_t sequence = 0;
 
-  void hear(const std::string& name, std::uint64_t incarnation, instant now) {
+  void hear(const std::string& name, std::uint64_t incarnation, instant now,
+            bool store_lost = false) {
     take_report(board,
                 {.name = name,
                  .data_centre = "a",
                  .incarnation = incarnation,
-                 .sequence = ++sequence},
+                 .sequence = ++sequence,
+                 .store_lost = store_lost},
                 now);
   }
 
-  void hear_far(const std::string& name, instant now) {
+  void hear_far(const std::string& name, instant now, bool store_lost = false) {
     take_summary(board,
                  {.data_centre = "b",
                   .sequence = ++sequence,
-                  .members = {{.name = name, .incarnation = 1}}},
+                  .members = {{.name = name,
+                               .incarnation = 1,
+                               .store_lost = store_lost}}},
                  now);
   }
 };
@@ -95,3 +99,22 @@
   CHECK_FALSE(should_take_over(it.board, daemon("vm1", 5900ms), job, 16s));
   CHECK(should_take_over(it.board, daemon("vm1", 6000ms), job, 16s));
 }
+
+// A daemon that cannot reach the store never takes a job over.
+TEST_CASE("a job does not wait for a daemon without the store") {
+  auto it = board_fixture();
+  SECTION("of the owner's data centre") {
+    for (const auto* other : {"vm2", "vm3", "vm4", "vm5", "vm6"})
+      it.hear(other, 1, 10s, true);
+    CHECK(should_take_over(it.board, daemon("vm7"), job_of("vm1#7", "a"), 10s));
+  }
+  SECTION("of another data centre") {
+    it.hear_far("vm8", 10s, true);
+    CHECK(should_take_over(it.board, daemon("vm7"), job_of("vm9#1", "b"), 11s));
+  }
+  SECTION("that considers it itself") {
+    auto self = daemon("vm7");
+    self.store_lost = true;
+    CHECK_FALSE(should_take_over(it.board, self, job_of("vm1#7", "a"), 10s));
+  }
+}
