Wait for a silent target that is the last to run a request

Callers got 502 although their sound target answered a second later: a request that may be repeated was closed after 0.7 s of silence, its last attempt, too.

Cause: only answers that had begun waited for a silent target that alone may go on.

Change: the last attempt that a route allows is never closed because of silence.

Result: silent-target-test, "a request's last attempt waits for a silent target", holds; both of its sections failed on the code as it stood (502 where 200 came later).

--- a/src/serving/slots.cc
+++ b/src/serving/slots.cc
@@ -45,12 +45,13 @@
 }
 
 /// \return whether a request at a silent target may be closed. A target may be
-///     silent for a while and go on, so an answer that has begun and cannot go
-///     on elsewhere waits for it.
+///     silent for a while and go on, so a request waits for it if it may run
+///     nowhere else, or has begun and cannot go on elsewhere.
 bool may_close(const front& in, const live_attempt& it, instant now) {
+  if (it.kind == work_kind::batch) return true;
+  if (it.is_last) return false;
   auto has_begun = it.has_output || it.head_sent;
-  if (it.kind == work_kind::batch || !has_begun) return true;
-  return !it.is_last && has_alternative(in, it, now);
+  return !has_begun || has_alternative(in, it, now);
 }
 
 }  // namespace
--- a/test/silent-target-test.cc
+++ b/test/silent-target-test.cc
@@ -64,3 +64,48 @@
   CHECK(answer->body == whole_text());
   CHECK(it.targets[0].heads.size() + it.targets[1].heads.size() == 2);
 }
+
+namespace {
+
+/// Breaks off the first request, and answers the next after a silence that is
+/// longer than the daemon waits for targets that may be passed over.
+scripted_target::script answer_late(instant silence) {
+  return [silence, n = std::make_shared<int>(0)](const std::string& head) {
+    if ((*n)++ == 0) return scripted_answer{.close = true};
+    auto out = whole(head);
+    if (head.starts_with("POST /slow/")) {
+      out.bytes =
+          concat("HTTP/1.1 200 OK\r\nFulmarpitch-Attempt-Id: ", id_of(head),
+                 "\r\nFulmarpitch-Server-Stamp: s\r\n"
+                 "Content-Length: 2\r\n\r\nok");
+    }
+    out.delay = silence;
+    return out;
+  };
+}
+
+}  // namespace
+
+// Nothing else could answer it sooner, and a silent target may be sound.
+TEST_CASE("a request's last attempt waits for a silent target") {
+  auto& it = make_fixture();
+  SECTION("that answers at once") {
+    auto script = answer_late(2200ms);
+    it.add_target(script);
+    it.add_target(script);
+    it.start();
+    auto answer = it.post("/slow/1", "a1");
+    REQUIRE(answer.ok());
+    CHECK(answer->status == 200);
+    CHECK(answer->body == "ok");
+  }
+  SECTION("that begins a stream") {
+    auto script = answer_late(1200ms);
+    it.add_target(script);
+    it.add_target(script);
+    it.start();
+    auto answer = it.post("/again/1", "a1");
+    REQUIRE(answer.ok());
+    CHECK(answer->body == whole_text());
+  }
+}
