Refuse a request that does not arrive in time with 408

Cause: the timers of a request's head and body closed its connection without a word, and looked only at the clock: bytes that had arrived while the process stood still did not count.

Change: a check closes a read that is late only if no bytes wait to be read, and answers 408, which says that the request has not run.

Result: http-test holds. "a request that does not arrive in time is refused" failed before. "a request that arrives while the process stands still is read" held before as well: the fault that it guards against was not reproduced.

--- a/src/net/http-server.cc
+++ b/src/net/http-server.cc
@@ -38,6 +38,7 @@
 constexpr auto linger_timeout = std::chrono::seconds(1);
 constexpr std::size_t max_linger_bytes = std::size_t{4} * 1024 * 1024;
 
+constexpr int status_request_timeout = 408;
 constexpr int status_internal_error = 500;
 
 using head_parser = http::request_parser<http::empty_body>;
@@ -144,8 +145,10 @@
   asio::awaitable<void> linger();
   asio::awaitable<void> send_all();
   void bound_input();
+  void end_late_read(instant now);
   void enqueue(std::string bytes);
   void refuse(error_code code, std::string_view message);
+  void refuse(int status, error_code code, std::string_view message);
   void watch_for_close();
   bool has_input();
   bool is_closed_by_client();
@@ -163,6 +166,8 @@
   /// A request was refused before it was read whole.
   bool refused_ = false;
   instant write_began_{};
+  /// When the head or the body that is being read is due; empty if none is.
+  std::optional<instant> read_deadline_;
   /// When the wait for a request began, and the idle timeout at that time.
   instant idle_since_{};
   instant idle_timeout_{};
@@ -378,9 +383,12 @@
   auto head = head_parser();
   head.header_limit(server_->options.max_header_bytes);
   head.body_limit(boost::none);
-  stream_.expires_after(server_->options.header_timeout);
+  // A body that was read in pieces has left its own deadline.
+  stream_.expires_never();
+  read_deadline_ = event_loop::steady() + server_->options.header_timeout;
   co_await http::async_read_header(stream_, buf_, head, token);
   if (ec) {
+    read_deadline_.reset();
     if (ec == http::error::header_limit) {
       refuse(error_code::too_large, "the request head is too large");
     } else if (is_bad_input(ec)) {
@@ -405,17 +413,18 @@
     }
     auto text = text_parser(std::move(head));
     text.body_limit(server_->options.max_body_bytes);
-    stream_.expires_after(server_->options.client_timeout);
+    read_deadline_ = event_loop::steady() + server_->options.client_timeout;
     co_await http::async_read(stream_, buf_, text, token);
+    read_deadline_.reset();
     if (ec == http::error::body_limit) {
       refuse(error_code::too_large, "the request body is too large");
-    } else if (ec && ec != http::error::end_of_stream) {
+    } else if (ec && ec != http::error::end_of_stream && !refused_) {
       refuse(error_code::bad_request, ec.message());
     }
     if (ec) co_return false;
     request.body = std::move(text.get().body());
   }
-  stream_.expires_never();
+  read_deadline_.reset();
   current_ = std::make_shared<server_exchange>(shared_from_this(),
                                                std::move(request), keep_alive);
   current_->set_parser(std::move(parser));
@@ -490,10 +499,15 @@
 }
 
 void http_session::refuse(error_code code, std::string_view message) {
+  refuse(http_status(code), code, message);
+}
+
+void http_session::refuse(int status, error_code code,
+                          std::string_view message) {
   auto body = concat(R"({"error":{"type":"invalid_request","code":")",
                      name_in(error_code_names, code), R"(","message":")",
                      message, R"(","outcome":"not_run"}})");
-  auto answer = http_response{.status = http_status(code),
+  auto answer = http_response{.status = status,
                               .headers = {{"Content-Type", "application/json"}},
                               .body = std::move(body)};
   enqueue(head_text(answer, false, false) + answer.body);
@@ -521,8 +535,23 @@
   if (is_idle()) close(connection_end::nothing_to_answer);
 }
 
+// Bytes that have arrived and are not read yet were in time: this process may
+// have stood still.
+void http_session::end_late_read(instant now) {
+  auto ec = boost::system::error_code();
+  if (!read_deadline_ || now <= *read_deadline_ ||
+      stream_.socket().available(ec) > 0)
+    return;
+  read_deadline_.reset();
+  // Ends the read.
+  stream_.cancel();
+  refuse(status_request_timeout, error_code::deadline_exceeded,
+         "the request did not arrive in time");
+}
+
 void http_session::close_if_expired(instant now) {
   const auto& options = server_->options;
+  end_late_read(now);
   if (sending_ && now - write_began_ > options.client_timeout)
     return close(connection_end::client_stuck);
   // Clients reuse connections by the timeout that they know: a shorter one
--- a/test/http-test.cc
+++ b/test/http-test.cc
@@ -216,6 +216,44 @@
   CHECK(client.read_status().empty());
 }
 
+TEST_CASE("a request that arrives while the process stands still is read") {
+  auto it = fixture(echo);
+  constexpr auto timeout = std::chrono::milliseconds(300);
+  it.server->set_limits({.client_timeout = timeout, .header_timeout = timeout});
+  auto client = kept_client(it.loop, it.server->port());
+  auto request = std::string(
+      "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\ntext");
+  auto cut = GENERATE_COPY(std::size_t{10}, request.size() - 2);
+  asio::write(client.socket, asio::buffer(request.substr(0, cut)));
+  // The rest arrives in time; the process goes on after the deadline.
+  it.loop.after(timeout / 3, [&] {
+    asio::write(client.socket, asio::buffer(request.substr(cut)));
+    std::this_thread::sleep_for(2 * timeout);
+  });
+  CHECK(client.read_status() == "HTTP/1.1 200 OK");
+}
+
+TEST_CASE("a request that does not arrive in time is refused") {
+  auto it = fixture(echo);
+  constexpr auto timeout = std::chrono::milliseconds(300);
+  it.server->set_limits({.client_timeout = timeout, .header_timeout = timeout});
+  auto client = kept_client(it.loop, it.server->port());
+  auto request = std::string(
+      "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\ntext");
+  auto cut = GENERATE_COPY(std::size_t{10}, request.size() - 2);
+  asio::write(client.socket, asio::buffer(request.substr(0, cut)));
+  asio::co_spawn(
+      io_of(it.loop),
+      [](kept_client& to) -> task<void> {
+        (void)co_await asio::async_read_until(
+            to.socket, asio::dynamic_buffer(to.input), "not_run", as_result);
+        to.loop.stop();
+      }(client),
+      asio::detached);
+  it.loop.run();
+  CHECK(client.input.starts_with("HTTP/1.1 408"));
+}
+
 TEST_CASE("a request that its handler drops is answered") {
   auto it = fixture([](const auto& exchange) {
     if (exchange->request().target == "/begun") exchange->start_stream({});
