Limit what answers without an end take of a VM's memory

An operator of a similar system lost a VM: a faulty target sent bytes without end, and the requests of other clients ended with it.

Cause: each answer had a limit, all together had none. A stream was read as fast as its target sent, up to 16 MB for a client that took nothing, and whole answers could take 4 MB each, before 140 MB of memory.

Change: a target is not read while its client has 256 KB of a stream to take. Answers that are not read whole share an eighth of the VM's memory; beyond it those of over 64 KB fail. The sum is a metric, answer_bytes_kept.

Result: endless-target-test and http-link-test hold. On the code as it stood the first read over 16 MB and then cut the client off.

--- a/include/fulmarpitch/net/http-link.h
+++ b/include/fulmarpitch/net/http-link.h
@@ -10,6 +10,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -35,6 +36,9 @@
 
 class http_link;
 
+/// An answer may always be kept up to this size while it is read.
+inline constexpr std::size_t min_kept_answer_bytes = std::size_t{64} * 1024;
+
 /// All open links, so that one tick can close those whose time is up.
 class link_table {
  public:
@@ -42,9 +46,16 @@
   void close_expired(instant now);
   std::size_t size() const { return links_.size(); }
 
+  /// Limits the answers that all links together keep while they are read.
+  void limit_kept_bytes(std::size_t most) { max_kept_bytes_ = most; }
+  std::size_t kept_bytes() const { return kept_bytes_; }
+
  private:
   friend class http_link;
+  friend class kept_answer;
   std::unordered_set<http_link*> links_;
+  std::size_t kept_bytes_ = 0;
+  std::size_t max_kept_bytes_ = std::numeric_limits<std::size_t>::max();
 };
 
 /// A connection that carries one exchange at a time. Every error closes it.
@@ -80,7 +91,8 @@
   ///     a complete body; an error when the body broke off.
   task<absl::StatusOr<std::string_view>> read_piece();
 
-  /// Reads the rest of the body.
+  /// Reads the rest of the body. A long one fails, too, while the links of the
+  /// table together keep more than they may.
   /// \param limit most bytes to take.
   task<absl::StatusOr<std::string>> read_rest(std::size_t limit);
 
--- a/include/fulmarpitch/serving/settings.h
+++ b/include/fulmarpitch/serving/settings.h
@@ -38,6 +38,8 @@
   /// Address of the platform's store.
   std::string store_address;
   store_limits limits;
+  /// Memory that this process may use.
+  std::size_t memory_bytes = std::size_t{140} * 1024 * 1024;
   /// Time between SIGTERM and SIGKILL.
   instant grace = std::chrono::seconds(8);
   /// Time after which a target that is leaving gets no new requests.
--- a/src/net/http-link.cc
+++ b/src/net/http-link.cc
@@ -40,6 +40,34 @@
 
 }  // namespace
 
+/// An answer that is being read, counted in its table.
+class kept_answer {
+ public:
+  explicit kept_answer(std::shared_ptr<link_table> table)
+      : table_(std::move(table)) {}
+  ~kept_answer() { table_->kept_bytes_ -= text.size(); }
+  kept_answer(const kept_answer&) = delete;
+  kept_answer& operator=(const kept_answer&) = delete;
+
+  /// \return whether the answer may be kept with what was added.
+  bool append(std::string_view piece) {
+    text += piece;
+    table_->kept_bytes_ += piece.size();
+    return text.size() <= min_kept_answer_bytes ||
+           table_->kept_bytes_ <= table_->max_kept_bytes_;
+  }
+
+  std::string release() {
+    table_->kept_bytes_ -= text.size();
+    return std::exchange(text, {});
+  }
+
+  std::string text;
+
+ private:
+  std::shared_ptr<link_table> table_;
+};
+
 void link_table::close_expired(instant now) {
   for (auto* it : links_) {
     if (!it->deadline_ || now < *it->deadline_ || !it->is_open()) continue;
@@ -130,13 +158,16 @@
 }
 
 task<absl::StatusOr<std::string>> http_link::read_rest(std::size_t limit) {
-  auto out = std::string();
+  auto out = kept_answer(table_);
   for (;;) {
     auto piece = co_await read_piece();
     if (!piece.ok()) co_return piece.status();
-    if (piece->empty()) co_return out;
-    out += *piece;
-    if (out.size() <= limit) continue;
+    if (piece->empty()) {
+      auto text = out.release();
+      co_return text;
+    }
+    auto fits = out.append(*piece) && out.text.size() <= limit;
+    if (fits) continue;
     close();
     co_return make_error(error_code::too_large,
                          concat("the answer of ", address_, " is too long"));
--- a/src/serving/daemon.cc
+++ b/src/serving/daemon.cc
@@ -73,6 +73,7 @@
       count("attempts", in.attempts.size()), count("jobs_run", in.runs.size()),
       count("jobs_known", in.book.jobs.size()),
       count("crash_records", in.crashes.records.size()),
+      count("answer_bytes_kept", in.target_links.links().kept_bytes()),
       count("log_lines_dropped", in.log.dropped()));
 }
 
--- a/src/serving/front.cc
+++ b/src/serving/front.cc
@@ -17,6 +17,10 @@
 namespace fulmar::serving {
 namespace {
 
+/// One in this many bytes of the memory may hold answers that targets have not
+/// sent whole.
+constexpr std::size_t memory_per_kept_answers = 8;
+
 /// Estimate before the first answers: a stream of 35 events at 20 ms each.
 constexpr auto initial_slot_time = std::chrono::milliseconds(700);
 
@@ -78,6 +82,8 @@
           store_counts)),
       book_changed(io),
       log(event_log_options()) {
+  target_links.links().limit_kept_bytes(settings.memory_bytes /
+                                        memory_per_kept_answers);
   board.data_centre = settings.data_centre;
   board.began = began;
 }
--- a/src/serving/online.cc
+++ b/src/serving/online.cc
@@ -42,6 +42,13 @@
 /// Size limit for non-streaming answers, which are buffered whole.
 constexpr std::size_t max_answer_bytes = std::size_t{4} * 1024 * 1024;
 
+/// Bytes of a stream that its client has not taken, beyond which the target is
+/// not read.
+constexpr std::size_t max_stream_backlog = std::size_t{256} * 1024;
+
+/// Interval at which a stream whose client takes nothing looks again.
+constexpr auto backlog_poll_interval = std::chrono::milliseconds(10);
+
 /// A target may stay silent for this multiple of the route's latency goal
 /// before it is suspected: a non-streaming answer arrives all at once.
 constexpr int silence_timeout_factor = 2;
@@ -292,6 +299,16 @@
   note_begun(in.begun, it.begun_by, *it.origin, event_loop::steady());
 }
 
+/// Waits until the client has taken most of the stream, or the stream ends.
+task<void> wait_for_client(online_request& it, live_attempt& entry) {
+  while (it.client->unsent_bytes() > max_stream_backlog && !it.client_gone &&
+         entry.link->is_open()) {
+    // The target is not silent; it is not read.
+    entry.note_output();
+    co_await pause_for(backlog_poll_interval);
+  }
+}
+
 task<serve_outcome> forward_stream(front& in, online_request& it,
                                    http_link& link, const answer_head& head,
                                    live_attempt& entry) {
@@ -317,6 +334,7 @@
     events.feed(*piece);
     if (!it.matched_route->resumable) it.client->write(std::string(*piece));
     forward_events(it, events);
+    co_await wait_for_client(it, entry);
     if (!events.is_endless()) continue;
     link.close();
     note_broken_stream(in, it, entry, stream_end::endless, absl::OkStatus());
--- a/test/endless-target-test.cc
+++ b/test/endless-target-test.cc
@@ -140,3 +140,27 @@
   CHECK(answer->body == whole_text());
   CHECK(endless_bytes(it) < max_received_bytes);
 }
+
+// What a client does not take must not pile up at the daemon.
+TEST_CASE("an endless stream is not read faster than its client takes it") {
+  constexpr std::size_t most = std::size_t{16} * 1024 * 1024;
+  auto& it = make_fixture();
+  auto& target = it.add_target([](const std::string& head) {
+    return scripted_answer{
+        .bytes = stream_head(id_of(head)),
+        .endless = chunk(concat("data: ", std::string(4000, 'x'), "\n\n"))};
+  });
+  it.start();
+  auto client = tcp::socket(io_of(it.loop));
+  client.open(tcp::v4());
+  client.set_option(asio::socket_base::receive_buffer_size(64 * 1024));
+  client.connect({asio::ip::make_address("127.0.0.1"), it.ports.client});
+  asio::write(client,
+              asio::buffer(std::string(
+                  "POST /once/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n"
+                  "Fulmarpitch-Attempt-Id: a1\r\n\r\n")));
+  it.run_for(2s);
+  CHECK(target.endless_bytes > 0);
+  CHECK(target.endless_bytes < most);
+  CHECK(target.open == 1);
+}
--- a/test/http-link-test.cc
+++ b/test/http-link-test.cc
@@ -1,9 +1,12 @@
 #include "fulmarpitch/net/http-link.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <deque>
 #include <string>
 #include <vector>
 
+#include "endless-peer.h"
 #include "fulmarpitch/core/text.h"
 #include "fulmarpitch/net/coroutine.h"
 
@@ -58,3 +61,48 @@
   io.poll();
   CHECK_FALSE(status.ok());
 }
+
+namespace {
+
+task<void> fetch_many(asio::io_context& io, std::shared_ptr<link_table> links,
+                      std::uint16_t port, std::size_t& most, int& refused) {
+  auto link = http_link(io, links, concat("127.0.0.1:", port));
+  auto connected = co_await link.connect();
+  REQUIRE(connected.ok());
+  auto sent = co_await link.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n", "");
+  REQUIRE(sent.ok());
+  auto head = co_await link.read_head();
+  REQUIRE(head.ok());
+  auto rest = co_await link.read_rest(large_body);
+  most = std::max(most, links->kept_bytes());
+  refused += rest.ok() ? 0 : 1;
+}
+
+}  // namespace
+
+// Each answer has a limit; together they must leave memory to other requests.
+TEST_CASE("answers without an end are limited in all") {
+  constexpr int answers = 12;
+  constexpr std::size_t most_kept = std::size_t{1024} * 1024;
+  auto io = asio::io_context();
+  auto links = std::make_shared<link_table>();
+  links->limit_kept_bytes(most_kept);
+  auto most = std::size_t{0};
+  auto refused = 0;
+  auto acceptors = std::deque<tcp::acceptor>();
+  for (auto n = 0; n < answers; ++n) {
+    auto& it = acceptors.emplace_back(
+        io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    asio::co_spawn(io,
+                   send_endless_response(it, "HTTP/1.1 200 OK\r\n\r\n",
+                                         std::string(4096, 'x')),
+                   asio::detached);
+    asio::co_spawn(
+        io, fetch_many(io, links, it.local_endpoint().port(), most, refused),
+        asio::detached);
+  }
+  io.run();
+  CHECK(refused == answers);
+  CHECK(most <= most_kept + answers * min_kept_answer_bytes);
+  CHECK(links->kept_bytes() == 0);
+}
--- a/test/store-limits-test.cc
+++ b/test/store-limits-test.cc
@@ -38,14 +38,11 @@
   template <typename T>
   T wait_for(task<T> work) {
     auto out = std::optional<T>();
-    asio::co_spawn(
-        io_of(loop),
-        [](task<T> it, std::optional<T>& to, event_loop& at) -> task<void> {
-          auto result = co_await std::move(it);
-          to = std::move(result);
-          at.stop();
-        }(std::move(work), out, loop),
-        asio::detached);
+    asio::co_spawn(io_of(loop), std::move(work),
+                   [&](const std::exception_ptr& fault, T result) {
+                     if (!fault) out = std::move(result);
+                     loop.stop();
+                   });
     loop.run();
     return std::move(*out);
   }
