Believe nothing that waited while a daemon stood still

Reported from a similar system: during a release streams were joined from two versions at a machine that had been out of step.

Cause: a daemon that wakes reads pages of other daemons and answers of the store that are as old as its pause. They confirmed its copies of the store's tables as current, and set its idea of the store's clock. Both decide which version a stream goes on at, and when items are given up.

Change: a pause is noticed by the steady clock and by the one that counts while a VM is suspended, before anything that waited is taken. The copies are unconfirmed until the store was asked anew; what waited is applied and confirms nothing, and is not passed on.

The report itself was not reproduced.

--- a/include/fulmarpitch/net/event-loop.h
+++ b/include/fulmarpitch/net/event-loop.h
@@ -41,6 +41,8 @@
   static instant now();
   /// \return monotonic time, for timeouts and leases.
   static instant steady();
+  /// \return monotonic time that also counts while the VM is suspended.
+  static instant since_boot();
 
   impl& native() { return *impl_; }
 
--- a/include/fulmarpitch/serving/feed.h
+++ b/include/fulmarpitch/serving/feed.h
@@ -83,7 +83,12 @@
 /// \return whether this daemon should poll the store for changes.
 bool must_poll(const feed_state& it, bool reads, instant now);
 
-/// Accepts a page forwarded by another daemon and advances the state.
+/// Records that the process stood still: what it reads next may be as old as
+/// that pause, so the table is unconfirmed until the store is asked again.
+void note_pause(feed_state& state);
+
+/// Accepts a page forwarded by another daemon and advances the state. Behind a
+/// gap or a pause it confirms nothing.
 /// \return the new rows, in store order; none if a page before this one was
 ///     missed.
 std::vector<stored_row> apply_forwarded(feed_state& state, feed_page page,
@@ -92,7 +97,10 @@
 /// Accepts a page read from the store and advances the state.
 /// \param page the changes, or the whole table on the first read; rows that
 ///     were applied already are removed from it.
-void apply_reply(feed_state& state, row_page& page, instant now);
+/// \param is_current the store was asked after the process last stood still;
+///     otherwise the page confirms nothing.
+void apply_reply(feed_state& state, row_page& page, instant now,
+                 bool is_current = true);
 
 /// Encodes a page as datagrams. Rows of one version stay together.
 /// \param max_bytes maximum size of a datagram.
--- a/src/net/event-loop.cc
+++ b/src/net/event-loop.cc
@@ -85,4 +85,12 @@
   return read_clock<std::chrono::steady_clock>();
 }
 
+instant event_loop::since_boot() {
+  auto time = timespec();
+  ::clock_gettime(CLOCK_BOOTTIME, &time);
+  return std::chrono::duration_cast<instant>(
+      std::chrono::seconds(time.tv_sec) +
+      std::chrono::nanoseconds(time.tv_nsec));
+}
+
 }  // namespace fulmar
--- a/src/serving/daemon.cc
+++ b/src/serving/daemon.cc
@@ -19,9 +19,6 @@
 /// 300 ms.
 constexpr auto tick_period = std::chrono::milliseconds(20);
 
-/// A tick that is later than this means that the process was suspended.
-constexpr auto max_tick_delay = std::chrono::milliseconds(300);
-
 /// Interval of cleanup work, such as closing idle links and dropping members
 /// that stopped reporting.
 constexpr auto cleanup_period = std::chrono::milliseconds(250);
@@ -113,13 +110,13 @@
   start(discover_members(in));
   start(read_versions(in));
   in.loop.every(tick_period, [&in] {
+    check_for_pause(in);
     auto now = event_loop::steady();
-    auto paused = now - in.last_tick > max_tick_delay;
-    if (paused) {
-      in.log.add("stood_still",
-                 {{"us", std::int64_t{(now - in.last_tick).count()}}});
-    }
+    // An answer that was read before this tick may have noted the pause.
+    auto paused = in.resumed_at > in.handled_pause;
+    in.handled_pause = in.resumed_at;
     in.last_tick = now;
+    in.last_tick_since_boot = event_loop::since_boot();
     in.target_links.links().close_expired(now);
     in.probe_links.links().close_expired(now);
     in.store_links.links().close_expired(now);
--- a/src/serving/feed.cc
+++ b/src/serving/feed.cc
@@ -77,11 +77,10 @@
 
 /// Advances a table to a version, and removes rows that were applied already.
 void advance_to(feed_state& state, std::vector<stored_row>& rows,
-                std::uint64_t version, instant now) {
+                std::uint64_t version) {
   auto known = [&](const auto& it) { return it.version <= state.version; };
   rows.erase(std::remove_if(rows.begin(), rows.end(), known), rows.end());
   state.version = std::max(state.version, version);
-  state.confirmed = now;
 }
 
 }  // namespace
@@ -102,15 +101,24 @@
     state.gap = true;
     return {};
   }
-  advance_to(state, page.rows, page.version, now);
+  advance_to(state, page.rows, page.version);
+  if (!state.gap) state.confirmed = now;
   return std::move(page.rows);
 }
 
-void apply_reply(feed_state& state, row_page& page, instant now) {
-  advance_to(state, page.rows, page.version, now);
+void apply_reply(feed_state& state, row_page& page, instant now,
+                 bool is_current) {
+  advance_to(state, page.rows, page.version);
+  if (!is_current) return;
+  state.confirmed = now;
   state.gap = false;
 }
 
+void note_pause(feed_state& state) {
+  state.confirmed = {};
+  state.gap = true;
+}
+
 std::vector<std::string> encode_feed(const feed_page& page,
                                      std::size_t max_bytes) {
   auto out = std::vector<std::string>();
--- a/src/serving/front.cc
+++ b/src/serving/front.cc
@@ -29,6 +29,9 @@
                                 absl::string_view(b.data(), b.size()));
 }
 
+/// A tick that is later than this means that the process was suspended.
+constexpr auto max_tick_delay = std::chrono::milliseconds(300);
+
 /// Hop-by-hop headers.
 constexpr auto connection_headers = std::array<std::string_view, 9>{
     "Connection", "Keep-Alive",        "Proxy-Connection", "TE",    "Trailer",
@@ -248,6 +251,31 @@
   return std::string(host.substr(0, host.find(':')));
 }
 
+bool check_for_pause(front& in) {
+  auto now = event_loop::steady();
+  auto since_boot = event_loop::since_boot();
+  auto gap = std::max(now - in.last_tick, since_boot - in.last_tick_since_boot);
+  if (gap <= max_tick_delay) return false;
+  in.last_tick = now;
+  in.last_tick_since_boot = since_boot;
+  in.resumed_at = now;
+  for (auto* it : {&in.feeds.configuration, &in.feeds.targets, &in.feeds.jobs,
+                   &in.feeds.crashes})
+    note_pause(*it);
+  in.log.add("stood_still", {{"us", std::int64_t{gap.count()}}});
+  return true;
+}
+
+bool is_current(front& in, instant asked) {
+  check_for_pause(in);
+  return asked >= in.resumed_at;
+}
+
+void take_store_time(front& in, instant store_now, instant asked) {
+  if (store_now.count() > 0 && is_current(in, asked))
+    in.store_clock_offset = store_now - event_loop::steady();
+}
+
 bool has_started(const front& in) {
   return in.configuration->version > 0 && in.targets_known;
 }
--- a/src/serving/front.h
+++ b/src/serving/front.h
@@ -248,8 +248,15 @@
   std::uint64_t request_count = 0;
   /// When this process started, on the steady clock.
   instant began = event_loop::steady();
-  /// When the main periodic work last ran, on the steady clock.
+  /// When the main periodic work last ran, on the steady clock and on the one
+  /// that counts while the VM is suspended.
   instant last_tick = event_loop::steady();
+  instant last_tick_since_boot = event_loop::since_boot();
+  /// When the process last went on after it had stood still, on the steady
+  /// clock.
+  instant resumed_at{};
+  /// The value of `resumed_at` that the main periodic work has handled.
+  instant handled_pause{};
 };
 
 /// Scope guard that counts a request in this daemon's load at a target.
@@ -327,6 +334,22 @@
 /// \return the host in the client's Host header, without the port.
 std::string host_of(const http_exchange& client);
 
+/// Notes a pause of the process since the main periodic work last ran: it was
+/// stopped, or its VM was suspended. What arrived meanwhile may be as old as
+/// the pause, so the copies of the store's tables are unconfirmed. \return
+/// whether there was one.
+bool check_for_pause(front& in);
+
+/// \param asked when a call began, on the steady clock.
+/// \return whether the process has run without a pause since then.
+bool is_current(front& in, instant asked);
+
+/// Takes the store's time from an answer, unless the answer waited while the
+/// process stood still.
+/// \param store_now the store's clock in the answer; 0 if it has none.
+/// \param asked when the call began, on the steady clock.
+void take_store_time(front& in, instant store_now, instant asked);
+
 /// \return whether the configuration and the targets have been loaded.
 bool has_started(const front& in);
 
--- a/src/serving/table-follower.cc
+++ b/src/serving/table-follower.cc
@@ -39,11 +39,6 @@
   bool lost_ = false;
 };
 
-void update_clock_offset(front& in, instant store_now) {
-  if (store_now.count() > 0)
-    in.store_clock_offset = store_now - event_loop::steady();
-}
-
 bool reads_for_others(const front& in) {
   return reads_for_others(in.board, in.settings.name, store_lost(in),
                           event_loop::steady());
@@ -103,6 +98,7 @@
     auto after = state.version;
     auto whole = after == 0;
     auto page = absl::StatusOr<row_page>(row_page());
+    auto asked = event_loop::steady();
     if (whole) {
       page = co_await it.read_whole();
     } else {
@@ -115,9 +111,10 @@
       continue;
     }
     watch.regained();
-    update_clock_offset(in, page->now);
-    if (!whole) forward_changes(in, it, after, *page);
-    apply_reply(state, *page, event_loop::steady());
+    take_store_time(in, page->now, asked);
+    auto current = is_current(in, asked);
+    if (!whole && current) forward_changes(in, it, after, *page);
+    apply_reply(state, *page, event_loop::steady(), current);
     it.apply(page->rows, whole);
     // An empty store has no version to poll from.
     auto empty = state.version == 0;
@@ -127,6 +124,7 @@
 
 void apply_feed_page(front& in, feed_page page) {
   if (page.data_centre != in.settings.data_centre) return;
+  check_for_pause(in);
   auto now = event_loop::steady();
   if (page.outage_ended) {
     auto ended = now - *page.outage_ended;
--- a/src/serving/version-system.cc
+++ b/src/serving/version-system.cc
@@ -155,10 +155,10 @@
 task<bool> read_version_rows(front& in, bool at_start) {
   auto range = row_range{.table = version_table, .part = version_part};
   for (auto first = true;; first = false) {
+    auto asked = event_loop::steady();
     auto page = co_await in.store.read(range);
     if (!page.ok()) co_return false;
-    if (page->now.count() > 0)
-      in.store_clock_offset = page->now - event_loop::steady();
+    take_store_time(in, page->now, asked);
     if (first) in.versions.recorded.clear();
     for (const auto& it : page->rows)
       apply_version(in, it, at_start);
--- a/test/feed-test.cc
+++ b/test/feed-test.cc
@@ -220,3 +220,28 @@
   // No report of either daemon is recent enough.
   CHECK(reads_for_others(board, "vm3", false, 13s));
 }
+
+// A daemon that stood still reads pages and answers that are as old as its
+// pause.
+TEST_CASE("what waited while the process stood still confirms nothing") {
+  auto state = feed_state{.version = 10, .confirmed = 1s};
+  note_pause(state);
+  CHECK(must_poll(state, false, 1s));
+  CHECK_FALSE(shows_absence(state, 1s));
+  SECTION("a forwarded page") {
+    auto rows = apply_forwarded(state, page(10, 12, {row("x", 12)}), 2s);
+    CHECK(keys_of(rows) == keys{"x"});
+  }
+  SECTION("the answer to an earlier call") {
+    auto answer = row_page{.rows = {row("x", 12)}, .version = 12};
+    apply_reply(state, answer, 2s, false);
+    CHECK(keys_of(answer.rows) == keys{"x"});
+  }
+  CHECK(state.version == 12);
+  CHECK(must_poll(state, false, 2s));
+  CHECK_FALSE(shows_absence(state, 2s));
+  auto answer = row_page{.version = 12};
+  apply_reply(state, answer, 3s);
+  CHECK_FALSE(must_poll(state, false, 3s));
+  CHECK(shows_absence(state, 3s));
+}
