--- a/include/fulmarpitch/serving/settings.h
+++ b/include/fulmarpitch/serving/settings.h
@@ -37,6 +37,7 @@
   std::uint16_t metrics_port = 9464;
   /// Address of the platform's store.
   std::string store_address;
+  /// What the platform's store accepts.
   store_limits limits;
   /// Memory that this process may use.
   std::size_t memory_bytes = std::size_t{140} * 1024 * 1024;
--- a/src/net/event-loop.cc
+++ b/src/net/event-loop.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
+#include <ctime>
 
 #include "event-loop-impl.h"
 #include "fulmarpitch/net/coroutine.h"
