Give each submission of a job an object of its own

Found on reading the change: a client that resends a large job to the same daemon while the first call is under way would have lost its body, had the store refused the second call only. No caller has seen it.

Cause: the object was named after the job and the daemon, so both submissions had one; the one that is not accepted drops it.

Change: the name holds a number of the submission. Each drops its own.

Result: serving-jobs-test, "submissions of a job have objects of their own", holds; its function is new. store-limits-test submits a large job twice at once: both get 202, one object stays and the body reads back. The loss itself was not brought about by a test.

--- a/include/fulmarpitch/serving/jobs.h
+++ b/include/fulmarpitch/serving/jobs.h
@@ -82,6 +82,12 @@
 
 row_name result_row_name(const job_row& it, std::uint32_t position);
 
+/// Names the object of a submission's body. Submissions of one job do not share
+/// an object, as one may drop its own while another is accepted.
+/// \param submission differs between the submissions of an incarnation.
+std::string body_object_name(const std::string& job, std::uint64_t incarnation,
+                             std::uint64_t submission);
+
 /// Names the row that holds an item's partial output.
 row_name progress_row_name(const job_row& it, std::uint32_t item);
 
--- a/src/serving/job-submission.cc
+++ b/src/serving/job-submission.cc
@@ -270,7 +270,7 @@
 /// \return false when the store did not confirm it.
 task<bool> store_large_body(front& in, job_row& job, std::string body) {
   if (fits_rows(body.size(), in.settings.limits)) co_return true;
-  job.object = concat("job-", job.id, "-", in.incarnation);
+  job.object = body_object_name(job.id, in.incarnation, ++in.request_count);
   auto status = co_await in.store.put_object(job.object, std::move(body));
   if (!status.ok()) {
     auto why = std::string(status.message());
--- a/src/serving/jobs.cc
+++ b/src/serving/jobs.cc
@@ -107,6 +107,11 @@
           .key = numbered_key(it, position)};
 }
 
+std::string body_object_name(const std::string& job, std::uint64_t incarnation,
+                             std::uint64_t submission) {
+  return concat("job-", job, "-", incarnation, "-", submission);
+}
+
 row_name progress_row_name(const job_row& it, std::uint32_t item) {
   return {.table = job_table::partials,
           .part = it.host,
--- a/test/serving-jobs-test.cc
+++ b/test/serving-jobs-test.cc
@@ -172,3 +172,9 @@
   CHECK_FALSE(decode_progress("7 2 s\nx").ok());
   CHECK_FALSE(decode_progress("7 2 % v\nx").ok());
 }
+
+// One submission may drop its object while another of the job is accepted.
+TEST_CASE("submissions of a job have objects of their own") {
+  CHECK(body_object_name("j1", 7, 1) != body_object_name("j1", 7, 2));
+  CHECK(body_object_name("j1", 7, 1) != body_object_name("j1", 8, 1));
+}
--- a/test/store-limits-test.cc
+++ b/test/store-limits-test.cc
@@ -255,6 +255,46 @@
   CHECK(it.store.refused_calls() == 0);
 }
 
+TEST_CASE("a job whose results could not be kept is refused at once") {
+  auto& it = make_fixture();
+  it.add_target(whole);
+  it.start();
+  auto body = boost::json::serialize(boost::json::object{
+      {"requests",
+       boost::json::array{boost::json::object{{"id", std::string(60'000, 'i')},
+                                              {"path", "/jobs/1"},
+                                              {"body", ""},
+                                              {"tokens", 1}}}}});
+  CHECK(it.post("/jobs/1", "j1", body)->status == 400);
+  CHECK(it.store.refused_calls() == 0);
+}
+
+TEST_CASE("a large job that is submitted twice at once keeps its body") {
+  auto& it = make_fixture();
+  it.add_target(whole);
+  it.start();
+  auto prompt = std::string(400'000, 'p');
+  auto statuses = std::vector<int>();
+  for (auto n = 0; n < 2; ++n) {
+    fetch(it.loop,
+          {.address = it.client_address,
+           .request = {.method = "POST",
+                       .target = "/jobs/1",
+                       .headers = {{"Host", "h"},
+                                   {"Fulmarpitch-Attempt-Id", "j1"}},
+                       .body = job_body(100, prompt)}},
+          [&](auto answer) {
+            statuses.push_back(answer.ok() ? answer->status : 0);
+          });
+  }
+  it.until([&] { return statuses.size() == 2; });
+  CHECK(statuses == std::vector{202, 202});
+  it.until([&] { return it.store.objects() == 1; });
+  CHECK(it.store.objects() == 1);
+  it.until([&] { return all_results(it, "j1").size() == 2; });
+  CHECK(it.get("/v1/items/j1?id=i1")->body == prompt);
+}
+
 TEST_CASE("the body of a job that is refused leaves no object") {
   auto& it = make_fixture();
   it.add_target(whole);
