Let items give way where their data centre has just fallen silent

Cause: targets were asked for their load only once their data centre was abandoned. In the 8 s before, daemons there that are cut off from this one do not see its items, and their requests could wait behind them.

Change: while a daemon runs items at a target whose data centre does not report, it asks the target, and its newest items give way to what the target states. A log line says which data centres became abandoned and which report again.

Result: far-data-centre-test has a case in which items give way; it covers the abandoned state, the earlier one has no test of its own.

--- a/src/serving/daemon.cc
+++ b/src/serving/daemon.cc
@@ -8,6 +8,7 @@
 #include "front.h"
 #include "fulmarpitch/core/errors.h"
 #include "fulmarpitch/core/text.h"
+#include "load-probe.h"
 #include "platform/names.h"
 #include "reports.h"
 #include "version-system.h"
@@ -138,6 +139,7 @@
     drop_silent_members(in.board, now);
     remove_expired_targets(in);
     remove_outdated_jobs(in);
+    log_abandoned(in, now);
     forget_crashes(in, now);
     observe_versions(in, now);
     write_versions(in, now);
--- a/src/serving/front.h
+++ b/src/serving/front.h
@@ -152,6 +152,8 @@
   instant wanted_until{};
   /// Earliest time of the next question, on the steady clock.
   instant next{};
+  /// Data centres that were logged as abandoned.
+  absl::flat_hash_set<std::string> abandoned;
 };
 
 /// The state of a daemon.
@@ -336,8 +338,8 @@
 
 /// Notes a pause of the process since the main periodic work last ran: it was
 /// stopped, or its VM was suspended. What arrived meanwhile may be as old as
-/// the pause, so the copies of the store's tables are unconfirmed. \return
-/// whether there was one.
+/// the pause, so the copies of the store's tables are unconfirmed.
+/// \return whether there was a pause.
 bool check_for_pause(front& in);
 
 /// \param asked when a call began, on the steady clock.
--- a/src/serving/load-probe.cc
+++ b/src/serving/load-probe.cc
@@ -82,13 +82,13 @@
 task<void> probe(front& in, target to, std::uint64_t key) {
   auto result = co_await ask(in, to);
   auto now = event_loop::steady();
-  auto& answer = in.board.answers[key];
-  answer = {.heard = now};
   const auto* row = find_target(in.targets, key);
-  if (!result.reached || row == nullptr) {
-    in.board.answers.erase(key);
-  } else if (result.requests) {
-    answer.unreported = count_unreported(in, *row, *result.requests, now);
+  in.board.answers.erase(key);
+  if (result.reached && row != nullptr) {
+    auto answer = target_answer{.heard = now};
+    if (result.requests)
+      answer.unreported = count_unreported(in, *row, *result.requests, now);
+    in.board.answers[key] = answer;
   }
   in.log.add("target_probed",
              {{"target", to.id},
@@ -105,9 +105,9 @@
   if (is_leaving(row) || row.seen.replaced) return false;
   auto own = in.board.own.find(row.key);
   auto runs_items = own != in.board.own.end() && own->second.batch > 0;
-  if (!runs_items && now >= in.probes.wanted_until) return false;
-  return load_knowledge_of(in.board, row.listed.data_centre, now) ==
-         load_knowledge::abandoned;
+  auto knowledge = load_knowledge_of(in.board, row.listed.data_centre, now);
+  if (runs_items) return knowledge != load_knowledge::reported;
+  return now < in.probes.wanted_until && knowledge == load_knowledge::abandoned;
 }
 
 }  // namespace
@@ -133,6 +133,26 @@
   asio::co_spawn(in.io, probe(in, oldest->listed, oldest->key), report_failure);
 }
 
+void log_abandoned(front& in, instant now) {
+  auto abandoned = absl::flat_hash_set<std::string>();
+  for (const auto& [id, row] : in.targets.rows) {
+    const auto& name = row.listed.data_centre;
+    if (load_knowledge_of(in.board, name, now) == load_knowledge::abandoned)
+      abandoned.insert(name);
+  }
+  auto log_change = [&](const std::string& name, bool is_abandoned) {
+    in.log.add("data_centre_abandoned",
+               {{"data_centre", name}, {"abandoned", is_abandoned}});
+  };
+  for (const auto& it : abandoned) {
+    if (!in.probes.abandoned.contains(it)) log_change(it, true);
+  }
+  for (const auto& it : in.probes.abandoned) {
+    if (!abandoned.contains(it)) log_change(it, false);
+  }
+  in.probes.abandoned = std::move(abandoned);
+}
+
 void want_probes(front& in, instant now) {
   in.probes.wanted_until = now + want_duration;
 }
--- a/support/scripted-target.h
+++ b/support/scripted-target.h
@@ -25,6 +25,8 @@
   std::string bytes;
   /// Sent repeatedly after `bytes` until the other side closes.
   std::string endless{};
+  /// Pause before each repetition.
+  instant endless_interval{};
   /// Closes the connection after the response.
   bool close = false;
   /// Resets the connection after the response, once the other side has had
@@ -131,7 +133,7 @@
       if (it.pause.count() > 0) co_await pause_for(it.pause);
       if (!it.rest.empty())
         co_await asio::async_write(socket, asio::buffer(it.rest), as_result);
-      if (!it.endless.empty()) co_await send_endlessly(socket, it.endless);
+      if (!it.endless.empty()) co_await send_endlessly(socket, it);
       if (it.reset) {
         co_await pause_for(std::chrono::milliseconds(50));
         auto ignored = boost::system::error_code();
@@ -144,10 +146,12 @@
     }
   }
 
-  task<void> send_endlessly(tcp::socket& socket, const std::string& again) {
+  task<void> send_endlessly(tcp::socket& socket, const scripted_answer& it) {
     for (;;) {
-      auto [ec, n] =
-          co_await asio::async_write(socket, asio::buffer(again), as_result);
+      if (it.endless_interval.count() > 0)
+        co_await pause_for(it.endless_interval);
+      auto [ec, n] = co_await asio::async_write(
+          socket, asio::buffer(it.endless), as_result);
       endless_bytes += n;
       if (ec) co_return;
     }
--- a/test/far-data-centre-test.cc
+++ b/test/far-data-centre-test.cc
@@ -16,6 +16,8 @@
 /// Answers the question for the load, and requests by running them.
 struct loaded_target {
   std::string load;
+  /// Sends the first event, and then comments only.
+  bool stops = false;
   int asked = 0;
   int runs = 0;
   int most = 0;
@@ -33,6 +35,11 @@
     ++runs;
     auto out = whole(head);
     out.delay = 300ms;
+    if (stops) {
+      out = {.bytes = stream_head(id_of(head)) + chunk(event(1)),
+             .endless = chunk(": wait\n\n"),
+             .endless_interval = 100ms};
+    }
     note_start();
     return out;
   }
@@ -96,3 +103,35 @@
   it.until([&] { return listed(it, "j1") == 4; });
   CHECK(listed(it, "j1") == 4);
 }
+
+namespace {
+
+/// \return the items that the daemon preempted.
+int preemptions(fixture& it) {
+  constexpr auto name = std::string_view("preemptions_total ");
+  auto clients =
+      std::exchange(it.client_address, concat("127.0.0.1:", it.ports.metrics));
+  auto answer = it.get("/metrics");
+  it.client_address = clients;
+  auto at = answer.ok() ? answer->body.rfind(name) : std::string::npos;
+  return at == std::string::npos
+             ? 0
+             : std::atoi(answer->body.c_str() + at + name.size());
+}
+
+}  // namespace
+
+// They were placed while the data centre was idle; others' requests come later.
+TEST_CASE("items give way to requests of daemons unheard") {
+  auto& it = make_fixture();
+  auto target = add_far_target(it, R"({"running":0,"waiting":0})");
+  target->stops = true;
+  it.start();
+  REQUIRE(it.post("/jobs/1", "j1", job_body(10, "prompt", 4))->status == 202);
+  it.run_for(settle_time);
+  it.until([&] { return target->runs >= 4; });
+  REQUIRE(target->runs >= 4);
+  target->load = R"({"running":8,"waiting":2})";
+  it.until([&] { return preemptions(it) >= 2; });
+  CHECK(preemptions(it) >= 2);
+}
