Limit answers that clients do not take, and outputs that wait, in all

Cause: each client may leave up to 16 MB untaken, and each item 900 KB; together they had no limit, so a faulty target and slow clients could still fill a VM's memory.

Change: what clients have not taken shares an eighth of the memory; beyond it the client that has most is cut off. Outputs of waiting items that are longer than a row are dropped, the longest first, while all outputs take more than an eighth; their items begin anew. An answer that is not read whole has a log line.

Result: http-test, "clients that take nothing are limited in all", holds; it uses a new option and was not run on the code as it stood.

--- a/include/fulmarpitch/net/http.h
+++ b/include/fulmarpitch/net/http.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -90,6 +91,9 @@
   instant header_timeout = std::chrono::seconds(30);
   /// A connection without a request for this long is closed.
   instant idle_timeout = std::chrono::seconds(30);
+  /// Bytes that all clients together have not taken; beyond it the client that
+  /// has most is cut off.
+  std::size_t max_all_unsent_bytes = std::numeric_limits<std::size_t>::max();
 };
 
 /// Listens and hands requests to a function.
@@ -128,6 +132,9 @@
   /// \return exchanges that have not ended.
   std::size_t open_exchanges() const;
 
+  /// \return the bytes that clients have not taken yet.
+  std::size_t unsent_bytes() const;
+
  private:
   std::shared_ptr<impl> impl_;
 };
--- a/include/fulmarpitch/serving/job-run.h
+++ b/include/fulmarpitch/serving/job-run.h
@@ -189,6 +189,11 @@
 /// Drops an item's output, so that any version may run it from the start.
 void begin_anew(job_item& item);
 
+/// Drops outputs of waiting items, the longest first, until all outputs
+/// together take less than a limit. Their items begin anew. Outputs of up to a
+/// row's size stay. \param most limit in bytes. \return the ids of the items.
+std::vector<std::string> trim_outputs(job_runs& runs, std::size_t most);
+
 /// \return whether an item has waited long enough for its version.
 bool is_stalled(const job_item& item, instant now,
                 const item_retry_options& options = {});
--- a/src/net/http-server.cc
+++ b/src/net/http-server.cc
@@ -106,6 +106,8 @@
   handler take;
   streams_body streams;
   std::unordered_set<class http_session*> sessions;
+  /// Sum over the sessions.
+  std::size_t unsent = 0;
   bool checking = false;
   /// The server is gone, and with it the loop that would send answers.
   bool stopped = false;
@@ -128,7 +130,10 @@
 class http_session : public std::enable_shared_from_this<http_session> {
  public:
   http_session(tcp::socket socket, std::shared_ptr<http_server::impl> server);
-  ~http_session() { server_->sessions.erase(this); }
+  ~http_session() {
+    drop_unsent();
+    server_->sessions.erase(this);
+  }
   http_session(const http_session&) = delete;
   http_session& operator=(const http_session&) = delete;
   void start();
@@ -136,6 +141,7 @@
   void close_if_idle();
   void close_if_expired(instant now);
   bool has_exchange() const { return current_ != nullptr; }
+  std::size_t unsent() const { return unsent_; }
 
  private:
   friend class server_exchange;
@@ -147,6 +153,8 @@
   void bound_input();
   void end_late_read(instant now);
   void enqueue(std::string bytes);
+  void note_taken(std::size_t bytes);
+  void drop_unsent() { note_taken(unsent_); }
   void refuse(error_code code, std::string_view message);
   void refuse(int status, error_code code, std::string_view message);
   void watch_for_close();
@@ -175,6 +183,14 @@
   asio::steady_timer ended_;
 };
 
+/// Cuts off the client that has taken least of what was sent to it.
+void close_most_unsent(http_server::impl& server) {
+  auto most = std::max_element(
+      server.sessions.begin(), server.sessions.end(),
+      [](const auto* a, const auto* b) { return a->unsent() < b->unsent(); });
+  (*most)->close(connection_end::client_stuck);
+}
+
 class server_exchange : public http_exchange,
                         public std::enable_shared_from_this<server_exchange> {
  public:
@@ -470,18 +486,27 @@
 void http_session::enqueue(std::string bytes) {
   if (closed_) return;
   unsent_ += bytes.size();
+  server_->unsent += bytes.size();
   outbox_.push_back(std::move(bytes));
   if (unsent_ > max_unsent_bytes) {
     close(connection_end::client_stuck);
     return;
   }
-  if (sending_) return;
+  if (server_->unsent > server_->options.max_all_unsent_bytes)
+    close_most_unsent(*server_);
+  if (closed_ || sending_) return;
   sending_ = true;
   asio::co_spawn(
       stream_.get_executor(),
       [self = shared_from_this()] { return self->send_all(); }, report_failure);
 }
 
+void http_session::note_taken(std::size_t bytes) {
+  auto n = std::min(unsent_, bytes);
+  unsent_ -= n;
+  server_->unsent -= n;
+}
+
 asio::awaitable<void> http_session::send_all() {
   auto ec = boost::system::error_code();
   while (!outbox_.empty() && !closed_) {
@@ -492,7 +517,7 @@
     write_began_ = event_loop::steady();
     co_await asio::async_write(stream_.socket(), asio::buffer(bytes),
                                asio::redirect_error(asio::use_awaitable, ec));
-    unsent_ -= std::min(unsent_, bytes.size());
+    note_taken(bytes.size());
     if (ec) close(connection_end::client_left);
   }
   sending_ = false;
@@ -521,6 +546,8 @@
          invariant::whole_answer,
          "a connection ends before the request that was read is answered");
   closed_ = true;
+  outbox_.clear();
+  drop_unsent();
   auto ec = boost::system::error_code();
   stream_.socket().close(ec);
   ended_.cancel();
@@ -627,6 +654,10 @@
     it->close_if_idle();
 }
 
+std::size_t http_server::unsent_bytes() const {
+  return impl_->unsent;
+}
+
 std::size_t http_server::open_exchanges() const {
   return static_cast<std::size_t>(
       std::count_if(impl_->sessions.begin(), impl_->sessions.end(),
--- a/src/serving/daemon.cc
+++ b/src/serving/daemon.cc
@@ -72,12 +72,14 @@
       count("jobs_known", in.book.jobs.size()),
       count("crash_records", in.crashes.records.size()),
       count("answer_bytes_kept", in.target_links.links().kept_bytes()),
+      count("answer_bytes_unsent", in.clients->unsent_bytes()),
       count("log_lines_dropped", in.log.dropped()));
 }
 
 absl::Status start_servers(front& in) {
   auto clients = parse_address(in.settings.client_address);
   if (!clients.ok()) return clients.status();
+  clients->max_all_unsent_bytes = answer_budget(in.settings);
   in.clients = std::make_unique<http_server>(
       in.loop, *clients,
       [&in](const auto& client) { handle_request(in, client); });
--- a/src/serving/discovery.cc
+++ b/src/serving/discovery.cc
@@ -59,7 +59,8 @@
   in.clients->set_limits({.max_body_bytes = limits.max_body_bytes,
                           .max_header_bytes = limits.max_header_bytes,
                           .header_timeout = limits.header_timeout,
-                          .idle_timeout = limits.idle_timeout});
+                          .idle_timeout = limits.idle_timeout,
+                          .max_all_unsent_bytes = answer_budget(in.settings)});
 }
 
 void apply_configuration(front& in, const stored_row& row) {
--- a/src/serving/front.cc
+++ b/src/serving/front.cc
@@ -17,9 +17,11 @@
 namespace fulmar::serving {
 namespace {
 
-/// One in this many bytes of the memory may hold answers that targets have not
-/// sent whole.
-constexpr std::size_t memory_per_kept_answers = 8;
+/// One in this many bytes of the memory may hold answers of one kind.
+constexpr std::size_t memory_per_answers = 8;
+
+/// A tick that is later than this means that the process was suspended.
+constexpr auto max_tick_delay = std::chrono::milliseconds(300);
 
 /// Estimate before the first answers: a stream of 35 events at 20 ms each.
 constexpr auto initial_slot_time = std::chrono::milliseconds(700);
@@ -29,9 +31,6 @@
                                 absl::string_view(b.data(), b.size()));
 }
 
-/// A tick that is later than this means that the process was suspended.
-constexpr auto max_tick_delay = std::chrono::milliseconds(300);
-
 /// Hop-by-hop headers.
 constexpr auto connection_headers = std::array<std::string_view, 9>{
     "Connection", "Keep-Alive",        "Proxy-Connection", "TE",    "Trailer",
@@ -85,8 +84,7 @@
           store_counts)),
       book_changed(io),
       log(event_log_options()) {
-  target_links.links().limit_kept_bytes(settings.memory_bytes /
-                                        memory_per_kept_answers);
+  target_links.links().limit_kept_bytes(answer_budget(settings));
   board.data_centre = settings.data_centre;
   board.began = began;
 }
@@ -251,6 +249,10 @@
   return std::string(host.substr(0, host.find(':')));
 }
 
+std::size_t answer_budget(const vm_settings& settings) {
+  return settings.memory_bytes / memory_per_answers;
+}
+
 bool check_for_pause(front& in) {
   auto now = event_loop::steady();
   auto since_boot = event_loop::since_boot();
--- a/src/serving/front.h
+++ b/src/serving/front.h
@@ -336,6 +336,11 @@
 /// \return the host in the client's Host header, without the port.
 std::string host_of(const http_exchange& client);
 
+/// \return the most bytes that answers of one kind may take: those that targets
+///     have not sent whole, those that clients have not taken, or the outputs
+///     of items that wait.
+std::size_t answer_budget(const vm_settings& settings);
+
 /// Notes a pause of the process since the main periodic work last ran: it was
 /// stopped, or its VM was suspended. What arrived meanwhile may be as old as
 /// the pause, so the copies of the store's tables are unconfirmed.
--- a/src/serving/job-run.cc
+++ b/src/serving/job-run.cc
@@ -13,6 +13,9 @@
 constexpr std::uint32_t max_backoff_steps = 4;
 constexpr std::uint32_t backoff_factor = 4;
 
+/// Outputs up to this size are never dropped for their memory.
+constexpr std::size_t min_trimmed_bytes = std::size_t{48} * 1024;
+
 /// Delay before a result that the store refused alone is listed again.
 constexpr auto refused_list_delay = std::chrono::seconds(10);
 
@@ -184,6 +187,29 @@
   item.stalled_since.reset();
 }
 
+std::vector<std::string> trim_outputs(job_runs& runs, std::size_t most) {
+  auto sum = std::size_t{0};
+  auto waiting = std::vector<job_item*>();
+  for (auto& [id, run] : runs) {
+    for (auto& it : run.items) {
+      sum += it.progress.output.size();
+      auto is_long = it.progress.output.size() > min_trimmed_bytes;
+      if (it.state == item_state::waiting && is_long) waiting.push_back(&it);
+    }
+  }
+  std::sort(waiting.begin(), waiting.end(), [](const auto* a, const auto* b) {
+    return a->progress.output.size() > b->progress.output.size();
+  });
+  auto out = std::vector<std::string>();
+  for (auto* it : waiting) {
+    if (sum <= most) break;
+    sum -= it->progress.output.size();
+    begin_anew(*it);
+    out.push_back(it->request.id);
+  }
+  return out;
+}
+
 bool is_stalled(const job_item& item, instant now,
                 const item_retry_options& options) {
   return item.stalled_since &&
--- a/src/serving/job-system.cc
+++ b/src/serving/job-system.cc
@@ -503,6 +503,8 @@
   start_saves(in, now);
   // Late requests are online requests: batch does not start before them.
   if (!in.leaving && in.late_requests.waiting.empty()) start_items(in, now);
+  for (const auto& it : trim_outputs(in.runs, answer_budget(in.settings)))
+    in.log.add("output_dropped", {{"request_id", it}, {"why", "memory"}});
   probe_targets(in, now);
 }
 
--- a/src/serving/online.cc
+++ b/src/serving/online.cc
@@ -378,6 +378,9 @@
     co_return co_await forward_stream(in, it, link, head, entry);
   auto body = co_await link.read_rest(max_answer_bytes);
   if (!body.ok()) {
+    auto why = std::string(body.status().message());
+    in.log.add("answer_not_read",
+               {{"request_id", it.id}, {"target", it.to.id}, {"why", why}});
     if (is_target_lost(entry, body.status()))
       note_target_end(in, causes_of(it), it.id, it.to);
     co_return serve_outcome::broken;
--- a/test/http-test.cc
+++ b/test/http-test.cc
@@ -1,8 +1,10 @@
 #include "fulmarpitch/net/http.h"
 
+#include <algorithm>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
+#include <deque>
 #include <thread>
 
 #include "fulmarpitch/core/errors.h"
@@ -254,6 +256,31 @@
   CHECK(client.input.starts_with("HTTP/1.1 408"));
 }
 
+// Each client has a limit; together they must leave memory to others.
+TEST_CASE("clients that take nothing are limited in all") {
+  constexpr std::size_t most = std::size_t{20} * 1024 * 1024;
+  constexpr std::size_t answer = std::size_t{12} * 1024 * 1024;
+  constexpr int stuck_clients = 4;
+  auto it = fixture([&](const auto& exchange) {
+    exchange->respond({.body = std::string(answer, 'x')});
+  });
+  it.server->set_limits({.max_all_unsent_bytes = most});
+  auto clients = std::deque<kept_client>();
+  auto highest = std::size_t{0};
+  for (auto n = 0; n < stuck_clients; ++n) {
+    clients.emplace_back(it.loop, it.server->port()).send("/stuck");
+    it.loop.after(std::chrono::milliseconds(50), [&] { it.loop.stop(); });
+    it.loop.run();
+    highest = std::max(highest, it.server->unsent_bytes());
+  }
+  CHECK(highest > 0);
+  CHECK(highest <= most);
+  clients.clear();
+  it.loop.after(std::chrono::milliseconds(50), [&] { it.loop.stop(); });
+  it.loop.run();
+  CHECK(it.server->unsent_bytes() == 0);
+}
+
 TEST_CASE("a request that its handler drops is answered") {
   auto it = fixture([](const auto& exchange) {
     if (exchange->request().target == "/begun") exchange->start_stream({});
