Refuse jobs whose results the store could never keep; end calls that it refuses

Cause: an item's id of over 48 KB makes a row that is too long, and a store whose rows may be longer than a call would refuse results for ever. Some calls were still repeated after a refusal that stays the same: the removal of a job, each 0.25 s; its end, for 2 s; the registration of a daemon.

Change: a submission is checked against all limits of the store before anything is written. Values leave room for others in their call, and the client checks the encoded size. A removal waits 10 s after a failure, the others are not repeated; each is logged, and a read that fails says why.

--- a/include/fulmarpitch/serving/job-run.h
+++ b/include/fulmarpitch/serving/job-run.h
@@ -201,6 +201,9 @@
 /// Marks all waiting items of a job as dead.
 void fail_waiting_items(job_run& run);
 
+/// \return the longest id of an item whose result fits into a row.
+std::size_t max_item_id_bytes(const store_limits& limits);
+
 /// A transaction that lists results, and the job's row after it.
 struct listing {
   row_transaction transaction;
--- a/include/fulmarpitch/serving/store-limits.h
+++ b/include/fulmarpitch/serving/store-limits.h
@@ -22,8 +22,8 @@
   std::size_t object_bytes = std::size_t{8} * 1024 * 1024;
 };
 
-/// \param row_bytes limit on a row's value in base64.
-/// \return the longest value that fits, in bytes.
-std::size_t max_value_bytes(std::size_t row_bytes);
+/// \return the longest value of a row, in bytes, that also leaves room for
+///     others in its transaction.
+std::size_t max_value_bytes(const store_limits& limits);
 
 }  // namespace fulmar::serving
--- a/include/fulmarpitch/serving/store.h
+++ b/include/fulmarpitch/serving/store.h
@@ -78,8 +78,8 @@
 /// \return the conditions, writes and removals of a transaction.
 std::size_t entries_of(const row_transaction& it);
 
-/// \return the size of a transaction in its encoded form, in bytes; at most a
-///     little too high.
+/// \return the size of a transaction in its encoded form, in bytes; a little
+///     too high, unless characters of names have to be escaped.
 std::size_t encoded_size(const row_transaction& it);
 
 /// \return whether a transaction may take one more row.
--- a/src/serving/daemon.cc
+++ b/src/serving/daemon.cc
@@ -139,9 +139,9 @@
     in.store_links.close_idle(now);
     in.daemon_links.close_idle(now);
     drop_silent_members(in.board, now);
+    log_abandoned(in, now);
     remove_expired_targets(in);
     remove_outdated_jobs(in);
-    log_abandoned(in, now);
     forget_crashes(in, now);
     observe_versions(in, now);
     write_versions(in, now);
--- a/src/serving/discovery.cc
+++ b/src/serving/discovery.cc
@@ -216,6 +216,7 @@
 }
 
 /// Registers this daemon in the store.
+/// \return whether the store has answered for good.
 task<bool> register_member(front& in) {
   auto text = boost::json::serialize(
       boost::json::object{{"address", in.settings.address},
@@ -225,7 +226,13 @@
       {.name = {.table = member_table, .key = in.settings.name},
        .value = std::move(text)});
   auto result = co_await in.store.commit(std::move(change));
-  co_return result.ok() && result->committed;
+  auto refused = !result.ok() && is_refusal(result.status());
+  if (refused) {
+    auto why = std::string(result.status().message());
+    in.log.add("member_not_registered", {{"why", why}});
+  }
+  // What the store refuses is not sent again; reports reach the others.
+  co_return refused || (result.ok() && result->committed);
 }
 
 void apply_member(front& in, const stored_row& row) {
--- a/src/serving/job-calls.cc
+++ b/src/serving/job-calls.cc
@@ -48,14 +48,15 @@
   co_return job;
 }
 
-/// Handles a read that failed because the store does not answer: forwards it to
-/// another daemon, or refuses it.
+/// Handles a read that failed, mostly because the store does not answer:
+/// forwards it to another daemon, or refuses it.
 task<void> forward_or_refuse_read(front& in,
                                   std::shared_ptr<http_exchange> client,
-                                  std::string job) {
+                                  std::string job, absl::Status fault) {
   auto answered = co_await try_forward(in, client);
   if (answered) co_return;
-  in.log.add("read_refused", {{"job", job}, {"why", "store unreachable"}});
+  auto why = std::string(fault.message());
+  in.log.add("read_refused", {{"job", job}, {"why", why}});
   refuse(*client, status_not_run, "the store is away", store_retry_delay);
 }
 
@@ -134,7 +135,7 @@
     co_return;
   }
   if (!job.ok()) {
-    co_await forward_or_refuse_read(in, client, id);
+    co_await forward_or_refuse_read(in, client, id, job.status());
     co_return;
   }
   auto until = event_loop::steady() +
@@ -151,7 +152,7 @@
     results = co_await read_result_page(in, *job, position);
   }
   if (!results.ok()) {
-    co_await forward_or_refuse_read(in, client, id);
+    co_await forward_or_refuse_read(in, client, id, results.status());
     co_return;
   }
   client->respond({.headers = {{"Content-Type", "application/json"}},
@@ -171,7 +172,7 @@
     items = job.status();
   }
   if (!items.ok() && code_of(items.status()) != error_code::not_found) {
-    co_await forward_or_refuse_read(in, client, id);
+    co_await forward_or_refuse_read(in, client, id, items.status());
     co_return;
   }
   if (items.ok()) {
@@ -208,7 +209,8 @@
     next.ended = true;
     auto result = co_await in.store.commit(job_change(*job, next));
     if (!result.ok()) {
-      if (event_loop::steady() - began > end_timeout) break;
+      auto late = event_loop::steady() - began > end_timeout;
+      if (late || is_refusal(result.status())) break;
       co_await pause_for(end_retry_delay);
       continue;
     }
--- a/src/serving/job-run.cc
+++ b/src/serving/job-run.cc
@@ -60,7 +60,7 @@
 /// \return the number of rows that an item's output takes apart from its
 ///     result's row; 0 if it fits there.
 std::uint32_t count_pieces(const job_item& it, const store_limits& limits) {
-  auto most = max_value_bytes(limits.row_bytes);
+  auto most = max_value_bytes(limits);
   auto size = it.progress.output.size();
   if (size + it.request.id.size() + max_result_head <= most) return 0;
   return static_cast<std::uint32_t>((size + most - 1) / most);
@@ -81,7 +81,7 @@
 bool fits_row(const item_progress& it, const store_limits& limits) {
   auto origin = it.origin.service.size() + it.origin.version.size();
   auto head = max_progress_head + percent_encoded_factor * origin;
-  return it.output.size() + head <= max_value_bytes(limits.row_bytes);
+  return it.output.size() + head <= max_value_bytes(limits);
 }
 
 }  // namespace
@@ -222,6 +222,11 @@
   }
 }
 
+std::size_t max_item_id_bytes(const store_limits& limits) {
+  auto most = max_value_bytes(limits);
+  return most - std::min(most, max_result_head);
+}
+
 std::optional<listing> next_listing(const job_run& run,
                                     const store_limits& limits, instant now) {
   auto out = listing{.row = run.row};
@@ -252,7 +257,7 @@
 std::optional<output_save> next_output(const job_run& run,
                                        const store_limits& limits,
                                        instant now) {
-  auto piece_bytes = max_value_bytes(limits.row_bytes);
+  auto piece_bytes = max_value_bytes(limits);
   for (auto it = std::uint32_t{0}; it < run.items.size(); ++it) {
     const auto& item = run.items[it];
     auto all = is_listable(item, now) ? count_pieces(item, limits) : 0;
--- a/src/serving/job-submission.cc
+++ b/src/serving/job-submission.cc
@@ -33,9 +33,6 @@
 /// Entries of an acceptance that are not pieces of the body.
 constexpr std::size_t acceptance_entries = 4;
 
-/// Longest text that follows a job's id in a row's key: an item and a piece.
-constexpr std::size_t max_id_suffix = std::string_view("/00000/00000").size();
-
 /// Limit on retries of one submission after conflicts with other acceptances.
 constexpr int max_acceptance_conflicts = 8;
 
@@ -122,9 +119,8 @@
     if (verdict == submission_verdict::over_limit && retries == 0)
       co_return acceptance_outcome::over_limit;
     auto order = it.ordered ? std::optional(quota_counter) : std::nullopt;
-    auto result = co_await in.store.commit(
-        acceptance(it.job, order, it.tokens, pieces,
-                   max_value_bytes(in.settings.limits.row_bytes)));
+    auto result = co_await in.store.commit(acceptance(
+        it.job, order, it.tokens, pieces, max_value_bytes(in.settings.limits)));
     if (!result.ok()) {
       auto unknown = outcome_of(result.status()) != outcome::not_run;
       if (!unknown && retries == 0) co_return acceptance_outcome::not_run;
@@ -263,7 +259,7 @@
 bool fits_rows(std::size_t body_bytes, const store_limits& limits) {
   auto pieces = limits.entries - acceptance_entries;
   return body_bytes <=
-         std::min(max_body_in_rows, pieces * max_value_bytes(limits.row_bytes));
+         std::min(max_body_in_rows, pieces * max_value_bytes(limits));
 }
 
 /// Stores a body that is too large for rows as an object.
@@ -294,11 +290,21 @@
   in.log.add("object_not_dropped", {{"object", it.job.object}, {"why", why}});
 }
 
-/// \return why the store can never keep a job; OK if it can.
-absl::Status check_storable(const submission& it, std::size_t body_bytes,
+/// \return why the store can never keep a job or its results; OK if it can.
+absl::Status check_storable(const submission& it,
+                            std::span<const submitted_item> items,
+                            std::size_t body_bytes,
                             const store_limits& limits) {
-  if (it.job.id.size() + max_id_suffix > limits.name_bytes)
-    return make_error(error_code::bad_request, "the job's id is too long");
+  auto names = acceptance(it.job, job_book::quota_counter(), it.tokens, {},
+                          max_value_bytes(limits));
+  // The longest key of a job's rows.
+  names.removals.push_back(output_row_name(it.job, 0, 0));
+  if (auto status = check_limits(names, limits); !status.ok())
+    return make_error(error_code::bad_request, std::string(status.message()));
+  for (const auto& item : items) {
+    if (item.id.size() > max_item_id_bytes(limits))
+      return make_error(error_code::bad_request, "an item's id is too long");
+  }
   if (!fits_rows(body_bytes, limits) && body_bytes > limits.object_bytes)
     return make_error(error_code::too_large, "the job's body is too large");
   return absl::OkStatus();
@@ -378,8 +384,8 @@
   at->client = client;
   at->it = make_submission(in, host_of(*client), id, path, *items);
   at->items = std::move(*items);
-  auto storable =
-      check_storable(at->it, request.body.size(), in.settings.limits);
+  auto storable = check_storable(at->it, at->items, request.body.size(),
+                                 in.settings.limits);
   if (!storable.ok()) {
     refuse_malformed(in, *client, id, storable);
     co_return;
--- a/src/serving/job-system.cc
+++ b/src/serving/job-system.cc
@@ -47,6 +47,9 @@
 /// Delay before taking over or loading a job is retried.
 constexpr auto adoption_retry_delay = std::chrono::milliseconds(200);
 
+/// Delay before the rows of a job are removed again after a failure.
+constexpr auto removal_retry_delay = std::chrono::seconds(10);
+
 /// Interval of the check for lost owners. They count as lost after 1.6 s of
 /// silence, and the check goes through the jobs of all daemons.
 constexpr auto takeover_check_interval = std::chrono::milliseconds(200);
@@ -445,6 +448,9 @@
   if (removed) {
     in.book.jobs.erase(id);
     in.log.add("job_removed", {{"job", id}});
+  } else {
+    in.log.add("job_not_removed", {{"job", id}});
+    co_await pause_for(removal_retry_delay);
   }
   in.loading_jobs.erase(id);
 }
@@ -497,14 +503,14 @@
   auto now = event_loop::steady();
   observe_loads(in, now);
   apply_job_updates(in);
+  for (const auto& it : trim_outputs(in.runs, answer_budget(in.settings)))
+    in.log.add("output_dropped", {{"request_id", it}, {"why", "memory"}});
   fail_overdue_items(in);
   adopt_jobs(in, now);
   start_listings(in, now);
   start_saves(in, now);
   // Late requests are online requests: batch does not start before them.
   if (!in.leaving && in.late_requests.waiting.empty()) start_items(in, now);
-  for (const auto& it : trim_outputs(in.runs, answer_budget(in.settings)))
-    in.log.add("output_dropped", {{"request_id", it}, {"why", "memory"}});
   probe_targets(in, now);
 }
 
--- a/src/serving/store.cc
+++ b/src/serving/store.cc
@@ -44,10 +44,12 @@
 
 }  // namespace
 
-std::size_t max_value_bytes(std::size_t row_bytes) {
+std::size_t max_value_bytes(const store_limits& limits) {
   constexpr std::size_t group = 3;
   constexpr std::size_t encoded_group = 4;
-  return row_bytes / encoded_group * group;
+  constexpr std::size_t values_per_call = 2;
+  auto most = std::min(limits.row_bytes, limits.call_bytes / values_per_call);
+  return most / encoded_group * group;
 }
 
 std::size_t entries_of(const row_transaction& it) {
--- a/test/job-run-test.cc
+++ b/test/job-run-test.cc
@@ -518,3 +518,48 @@
   item.progress.last_event = 60;
   CHECK(next_save(run, 20, limits));
 }
+
+TEST_CASE("outputs of waiting items are limited in all") {
+  auto runs = job_runs();
+  auto& run = runs.emplace("j1", large_job(20)).first->second;
+  auto sum = [&] {
+    auto out = std::size_t{0};
+    for (const auto& it : run.items)
+      out += it.progress.output.size();
+    return out;
+  };
+  for (auto n = std::size_t{0}; n < run.items.size(); ++n)
+    run.items[n].progress = {.last_event = 1,
+                             .output = std::string(60'000 + n, 'x')};
+  run.items[0].state = item_state::running;
+  run.items[1].state = item_state::finished;
+  constexpr std::size_t most = 500'000;
+  auto dropped = trim_outputs(runs, most);
+  CHECK(dropped.size() == 12);
+  CHECK(dropped.front() == "19");
+  CHECK(sum() <= most);
+  CHECK(run.items[0].progress.last_event == 1);
+  CHECK(run.items[1].progress.last_event == 1);
+  CHECK(trim_outputs(runs, most).empty());
+  // Short outputs stay, however many there are.
+  for (auto& it : run.items)
+    it.progress = {.last_event = 1, .output = std::string(40'000, 'x')};
+  CHECK(trim_outputs(runs, most).empty());
+}
+
+// A store may take rows that are longer than a call with one of them may be.
+TEST_CASE("a result fits into a call, however long a row may be") {
+  constexpr auto wide = store_limits{.row_bytes = 4'000'000};
+  auto run = sample();
+  for (auto it : {0, 1}) {
+    auto& item = running(run, static_cast<std::size_t>(it));
+    item.progress = {.last_event = 9, .output = std::string(899'999, 'x')};
+    end_attempt(item, attempt_end::complete, true, 1, 0s);
+  }
+  list_all(run, wide);
+  CHECK(run.row.listed.size() == 2);
+  auto& last = running(run, 2);
+  last.progress = {.last_event = 90, .output = std::string(899'999, 'x')};
+  ++last.progress.failures;
+  CHECK(next_save(run, 20, wide));
+}
