Read the list of targets anew before a stream's version is concluded

Seen by callers: a stream that began at a version which has just joined may go on at another one, at a daemon that has not listed it yet. Reported for a system like ours, where a VM was out of step during a release.

Cause: where a stream has no row, its version is concluded from the list of targets, which counted as known for 3 s after it was confirmed, and is read at intervals of up to a second. A version that joined in that time is not in it.

Change: such a conclusion first asks the store for the newest changes of the list and applies them. A version is listed before it begins a stream, so that a list as new as the take-up has it. Without an answer of the store the take-up is refused, as before.

--- a/src/serving/table-follower.cc
+++ b/src/serving/table-follower.cc
@@ -69,13 +69,9 @@
               {"confirmed_us_ago", std::int64_t{silent.count()}}});
 }
 
-/// Forwards changes to the data centre if this daemon reads for it.
+/// Forwards changes to the data centre.
 void forward_changes(front& in, const table_follower& it, std::uint64_t after,
                      const row_page& page) {
-  if (!it.shared) return;
-  auto reads = reads_for_others(in);
-  update_source(in, it, reads ? feed_source::for_all : feed_source::for_itself);
-  if (!reads) return;
   auto out = feed_page{
       .data_centre = in.settings.data_centre,
       .table = it.table,
@@ -87,6 +83,35 @@
   in.reports->send_feed(out);
 }
 
+/// What the store was asked for a table.
+struct table_query {
+  /// The changes after this version; 0 for the whole table.
+  std::uint64_t after = 0;
+  /// When it was asked, on the steady clock.
+  instant asked{};
+};
+
+/// Applies the rows that the store answered, and forwards them if this daemon
+/// reads for its data centre.
+/// \return whether the copy is as new as the question.
+bool apply_page(front& in, const table_follower& it, const table_query& query,
+                row_page page) {
+  take_store_time(in, page.now, query.asked);
+  auto current = is_current(in, query.asked);
+  auto whole = query.after == 0;
+  if (current && !whole && it.shared && reads_for_others(in))
+    forward_changes(in, it, query.after, page);
+  apply_reply(*it.state, page, event_loop::steady(), current);
+  it.apply(page.rows, whole);
+  return current;
+}
+
+const table_follower* find_follower(const front& in, std::string_view table) {
+  auto it = std::find_if(in.followed.begin(), in.followed.end(),
+                         [&](const auto* at) { return at->table == table; });
+  return it == in.followed.end() ? nullptr : *it;
+}
+
 }  // namespace
 
 task<void> follow(front& in, table_follower it) {
@@ -95,14 +120,13 @@
   in.followed.push_back(&it);
   for (;;) {
     co_await wait_for_turn(in, it, watch);
-    auto after = state.version;
-    auto whole = after == 0;
+    auto query =
+        table_query{.after = state.version, .asked = event_loop::steady()};
     auto page = absl::StatusOr<row_page>(row_page());
-    auto asked = event_loop::steady();
-    if (whole) {
+    if (query.after == 0) {
       page = co_await it.read_whole();
     } else {
-      page = co_await in.store.changes(it.table, after, it.poll_timeout);
+      page = co_await in.store.changes(it.table, query.after, it.poll_timeout);
     }
     if (!page.ok()) {
       watch.lost(page.status());
@@ -111,17 +135,36 @@
       continue;
     }
     watch.regained();
-    take_store_time(in, page->now, asked);
-    auto current = is_current(in, asked);
-    if (!whole && current) forward_changes(in, it, after, *page);
-    apply_reply(state, *page, event_loop::steady(), current);
-    it.apply(page->rows, whole);
+    auto changes = query.after > 0;
+    auto current = apply_page(in, it, query, std::move(*page));
+    if (current && changes && it.shared) {
+      auto reads = reads_for_others(in);
+      update_source(in, it,
+                    reads ? feed_source::for_all : feed_source::for_itself);
+    }
     // An empty store has no version to poll from.
     auto empty = state.version == 0;
     co_await pause_for(empty ? instant(retry_delay) : it.batch_delay);
   }
 }
 
+task<bool> refresh(front& in, std::string table) {
+  const auto* it = find_follower(in, table);
+  if (it == nullptr) co_return false;
+  // A page may hold only the oldest of the changes.
+  for (auto done = false; !done;) {
+    auto query =
+        table_query{.after = it->state->version, .asked = event_loop::steady()};
+    if (query.after == 0) co_return false;
+    auto page = co_await in.store.changes(table, query.after, instant{});
+    if (!page.ok()) co_return false;
+    done = page->rows.empty();
+    auto current = apply_page(in, *it, query, std::move(*page));
+    if (!current) co_return false;
+  }
+  co_return true;
+}
+
 void apply_feed_page(front& in, feed_page page) {
   if (page.data_centre != in.settings.data_centre) return;
   check_for_pause(in);
@@ -131,13 +174,12 @@
     in.store_recovered_at =
         std::max(in.store_recovered_at.value_or(ended), ended);
   }
-  for (const auto* it : in.followed) {
-    if (!it->shared || it->table != page.table) continue;
-    auto rows = apply_forwarded(*it->state, std::move(page), now);
-    auto known = it->state->version > 0 && !it->state->gap;
-    if (known) update_source(in, *it, feed_source::passed_on);
-    return it->apply(rows, false);
-  }
+  const auto* it = find_follower(in, page.table);
+  if (it == nullptr || !it->shared) return;
+  auto rows = apply_forwarded(*it->state, std::move(page), now);
+  auto known = it->state->version > 0 && !it->state->gap;
+  if (known) update_source(in, *it, feed_source::passed_on);
+  it->apply(rows, false);
 }
 
 }  // namespace fulmar::serving
--- a/src/serving/table-follower.h
+++ b/src/serving/table-follower.h
@@ -43,4 +43,10 @@
 /// table is read again.
 task<void> follow(front& in, table_follower it);
 
+/// Reads the newest changes of a replicated table from the store.
+/// \param table name of the table.
+/// \return whether the copy is as new as the call; false if the store did not
+///     answer, or the table has not been read yet.
+task<bool> refresh(front& in, std::string table);
+
 }  // namespace fulmar::serving
--- a/src/serving/version-system.cc
+++ b/src/serving/version-system.cc
@@ -6,6 +6,8 @@
 #include "fulmarpitch/core/errors.h"
 #include "fulmarpitch/core/rendezvous.h"
 #include "fulmarpitch/core/text.h"
+#include "platform/names.h"
+#include "table-follower.h"
 
 namespace fulmar::serving {
 namespace {
@@ -78,6 +80,17 @@
          must_record(in.versions.history, service, bounds_of(in), now);
 }
 
+/// \return the only version that may have begun a stream of a service, as far
+///     as this daemon knows; nothing if it cannot tell.
+std::optional<std::string> conclude_version(const front& in,
+                                            const std::string& service) {
+  auto now = event_loop::steady();
+  if (!knows_versions(in, now) ||
+      has_moved_routes(in, now, version_bounds().max_list_lag))
+    return std::nullopt;
+  return only_version(in.versions.history, service, bounds_of(in), now);
+}
+
 /// Reads a stream's row.
 /// \return the stream; `not_found` only if the store has no row.
 task<absl::StatusOr<recorded_stream>> read_begun(front& in, std::string id) {
@@ -285,11 +298,12 @@
     if (code_of(row.status()) != error_code::not_found)
       co_return known_origin();
   }
-  auto now = event_loop::steady();
-  if (!knows_versions(in, now) ||
-      has_moved_routes(in, now, version_bounds().max_list_lag))
-    co_return known_origin();
-  auto version = only_version(in.versions.history, service, bounds_of(in), now);
+  auto version = conclude_version(in, service);
+  if (!version) co_return known_origin();
+  // The stream may have begun at a version that joined a moment ago.
+  auto current = co_await refresh(in, std::string(platform::table::targets));
+  if (!current) co_return known_origin();
+  version = conclude_version(in, service);
   if (!version) co_return known_origin();
   auto out = known_origin{
       .source = origin_source::only_version,
--- a/test/one-version-test.cc
+++ b/test/one-version-test.cc
@@ -215,6 +215,23 @@
   CHECK(rest.text == text_of("v1", 3, 4));
 }
 
+// The daemon is out of step: its list does not have the version yet that began
+// the stream, and the stream's row was never written.
+TEST_CASE("a stream does not go on where another version has just joined") {
+  auto& it = make_fixture();
+  it.add_target(serve("v1"), "v1");
+  it.start();
+  SECTION("its list of targets is read at intervals") {}
+  SECTION("its question for changes is never answered") {
+    it.proxy->set(soak::link_fault::silenced);
+    it.run_for(1s);
+    it.proxy->set(soak::link_fault::none);
+  }
+  it.add_target(serve("v2"), "v2");
+  CHECK(is_not_run(resume(it, "b1", "not-known")));
+  CHECK(begin(it, "b2").whole);
+}
+
 TEST_CASE("a daemon that has just started knows a version that has left") {
   auto& it = make_fixture();
   it.add_target(break_off_always("v1"), "v1");
