Test that items give way once a data centre has fallen silent

The state between the last summary of a data centre and its being abandoned had no test of its own: a daemon that runs items there has to ask the targets at once, as daemons that are cut off from it do not hear of its items.

--- a/test/far-data-centre-test.cc
+++ b/test/far-data-centre-test.cc
@@ -3,6 +3,8 @@
 
 #include <catch2/catch.hpp>
 
+#include "fulmarpitch/net/coroutine.h"
+#include "fulmarpitch/serving/report-wire.h"
 #include "job-calls.h"
 
 using namespace fulmar;
@@ -135,3 +137,51 @@
   it.until([&] { return preemptions(it) >= 2; });
   CHECK(preemptions(it) >= 2);
 }
+
+namespace {
+
+/// Sends the summaries of a data centre whose daemons are idle.
+struct summary_sender {
+  udp::socket socket;
+  udp::endpoint to;
+  std::uint64_t sequence = 0;
+  bool silent = false;
+
+  void send() {
+    if (silent) return;
+    auto bytes = serving::encode_summary(
+        {.sender_data_centre = "far",
+         .sender_address = "127.0.0.9",
+         .summary = {
+             .data_centre = "far", .gatherer = 1, .sequence = ++sequence}});
+    socket.send_to(asio::buffer(bytes), to);
+  }
+};
+
+std::shared_ptr<summary_sender> send_summaries(fixture& it) {
+  auto address = asio::ip::make_address("127.0.0.1");
+  auto out = std::make_shared<summary_sender>(
+      summary_sender{.socket = udp::socket(io_of(it.loop), udp::v4()),
+                     .to = {address, it.ports.peer}});
+  it.loop.every(100ms, [out] { out->send(); });
+  return out;
+}
+
+}  // namespace
+
+// Its daemons may be cut off from this one and not hear of its items.
+TEST_CASE("items give way once their data centre has fallen silent") {
+  auto& it = make_fixture();
+  auto target = add_far_target(it, R"({"running":0,"waiting":0})");
+  target->stops = true;
+  it.start();
+  auto far = send_summaries(it);
+  REQUIRE(it.post("/jobs/1", "j1", job_body(10, "prompt", 4))->status == 202);
+  it.until([&] { return target->runs >= 4; });
+  REQUIRE(target->runs >= 4);
+  CHECK(target->asked == 0);
+  far->silent = true;
+  target->load = R"({"running":8,"waiting":2})";
+  it.until([&] { return preemptions(it) >= 2; });
+  CHECK(preemptions(it) >= 2);
+}
