Draw large jobs, long outputs and long outages in the soak

The faults at the limits of the store showed with jobs of 200 items, outputs that are longer than a row, and outages of several seconds; the soak had jobs of 4 items with short outputs, and outages of 3 s at most.

--- a/include/fulmarpitch/soak/soak-target.h
+++ b/include/fulmarpitch/soak/soak-target.h
@@ -7,12 +7,17 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "fulmarpitch/net/event-loop.h"
 #include "fulmarpitch/net/http.h"
 
 namespace fulmar::soak {
 
+/// The output of a request whose id begins so is longer than a row of the
+/// store.
+inline constexpr std::string_view long_output_prefix = "long-";
+
 /// How a target answers.
 struct soak_target_options {
   std::string id;
--- a/src/soak/soak-run.cc
+++ b/src/soak/soak-run.cc
@@ -19,6 +19,7 @@
 #include "fulmarpitch/soak/child.h"
 #include "fulmarpitch/soak/fault-proxy.h"
 #include "fulmarpitch/soak/soak-target.h"
+#include "platform/job-bodies.h"
 #include "platform/names.h"
 
 namespace fulmar::soak {
@@ -28,6 +29,12 @@
 
 constexpr std::uint32_t events_per_request = 12;
 constexpr std::uint32_t items_per_job = 4;
+
+/// One in so many jobs has as many items as a job may have, and one in so many
+/// items an output that is longer than a row of the store.
+constexpr std::uint64_t jobs_per_large_job = 10;
+constexpr std::uint64_t items_per_long_output = 6;
+
 constexpr auto call_timeout = std::chrono::seconds(5);
 
 /// A daemon that has had no fault for this long is held to its promises, as the
@@ -457,6 +464,12 @@
   note(it.report.seen, promise::sound_request_served, popular_path);
 }
 
+std::string draw_item(run_state& it) {
+  auto is_long = it.draw(items_per_long_output) == 0;
+  return concat(is_long ? long_output_prefix : std::string_view(),
+                it.draw_id());
+}
+
 std::string job_text(const std::set<std::string>& items) {
   auto list = json::array();
   for (const auto& it : items) {
@@ -518,8 +531,10 @@
   while (!it.callers_stop) {
     auto job = it.draw_id();
     auto& view = it.report.seen.jobs[job];
-    for (auto n = 0U; n < items_per_job; ++n)
-      view.items.insert(it.draw_id());
+    auto count = it.draw(jobs_per_large_job) == 0 ? platform::max_job_items
+                                                  : items_per_job;
+    while (view.items.size() < count)
+      view.items.insert(draw_item(it));
     for (const auto& item : view.items)
       it.report.seen.job_of[item] = job;
     auto accepted = co_await submit(it, job, job_text(view.items));
@@ -622,7 +637,9 @@
   auto fault = store_fault_names[1 + it.draw(faults)].first;
   tell(it, concat("store ", name_in(store_fault_names, fault)));
   it.store.set_fault(fault);
-  co_await pause_for(it.draw_time(300, 3000));
+  auto is_long = it.draw(4) == 0;
+  co_await pause_for(is_long ? it.draw_time(5000, 8000)
+                             : it.draw_time(300, 3000));
   it.store.set_fault(store_fault::none);
   it.store_harmed = event_loop::steady();
 }
--- a/src/soak/soak-target.cc
+++ b/src/soak/soak-target.cc
@@ -9,9 +9,13 @@
 namespace fulmar::soak {
 namespace {
 
+/// Bytes that each event of a long output has beyond a short one's.
+constexpr std::size_t long_event_bytes = std::size_t{6} * 1024;
+
 std::string data_of(const std::string& request, std::uint32_t event,
                     const std::string& version) {
-  return concat(request, ":", event, " ", version);
+  auto n = request.starts_with(long_output_prefix) ? long_event_bytes : 0;
+  return concat(request, ":", event, " ", version, std::string(n, '.'));
 }
 
 std::string event_text(const std::string& request, std::uint32_t event,
