Count a silence of a target as its end only when its entry is gone

Cause: a daemon that closed a silent target counted the close as an end of the target under the request. After three ends a content is held back as one that crashes targets, for up to an hour; with its head sent, its connection is closed. The log of silent-play-test shows it: target_doubted, target_ended with three ends and request_held in the same millisecond.

Change: an attempt tells a failed connection from a silence. A silence is remembered and counts if the target's entry is removed or its start time changes within 5 s, as that of a lost VM does; a target that stays listed was sound.

--- a/src/serving/attempt.cc
+++ b/src/serving/attempt.cc
@@ -82,9 +82,13 @@
 
 }  // namespace
 
-bool is_target_lost(const live_attempt& entry, const absl::Status& why) {
-  if (entry.stopped) return false;
-  return entry.target_silent || code_of(why) != error_code::deadline_exceeded;
+target_evidence evidence_of(const live_attempt& entry,
+                            const absl::Status& why) {
+  if (entry.stopped) return target_evidence::none;
+  if (entry.closed_silent) return target_evidence::silent;
+  if (code_of(why) != error_code::deadline_exceeded)
+    return target_evidence::ended;
+  return entry.target_silent ? target_evidence::silent : target_evidence::none;
 }
 
 bool may_be_stream(const answer_head& head) {
@@ -119,6 +123,7 @@
               {"target", to.id},
               {"address", to.address},
               {"outcome", name_in(attempt_outcome_names, result.outcome)},
+              {"evidence", name_in(target_evidence_names, result.evidence)},
               {"why", result.reason}});
 }
 
@@ -158,7 +163,7 @@
                        code_of(head.status()) == error_code::deadline_exceeded;
     if (!closed_here) record_target_failure(in, to.id, target_fault::broke_off);
     auto out = failed_attempt(attempt_outcome::broken, why);
-    out.target_lost = is_target_lost(entry, head.status());
+    out.evidence = evidence_of(entry, head.status());
     co_return out;
   }
   entry.last_received = event_loop::steady();
--- a/src/serving/attempt.h
+++ b/src/serving/attempt.h
@@ -42,19 +42,33 @@
     {attempt_outcome::broken, "broken"},
 }};
 
+/// What a failed attempt shows of its target.
+enum class target_evidence {
+  /// The daemon or the deadline ended the attempt.
+  none,
+  /// The target may have fallen silent for a while, or have ended.
+  silent,
+  /// The connection failed, as it does when the target crashes.
+  ended,
+};
+
+inline constexpr std::array<named<target_evidence>, 3> target_evidence_names{{
+    {target_evidence::none, "none"},
+    {target_evidence::silent, "silent"},
+    {target_evidence::ended, "ended"},
+}};
+
 struct attempt_result {
   attempt_outcome outcome = attempt_outcome::not_run;
   answer_head head;
   /// Why there is no answer.
   std::string reason;
-  /// The target may have crashed while it ran the request.
-  bool target_lost = false;
+  target_evidence evidence = target_evidence::none;
 };
 
 /// \param why the connection's error.
-/// \return whether the connection may have failed because the target crashed,
-///     rather than because this daemon closed it or the deadline passed.
-bool is_target_lost(const live_attempt& entry, const absl::Status& why);
+/// \return what the failure of an attempt shows of its target.
+target_evidence evidence_of(const live_attempt& entry, const absl::Status& why);
 
 /// How a stream ended.
 enum class stream_end {
--- a/src/serving/crash-system.cc
+++ b/src/serving/crash-system.cc
@@ -166,27 +166,39 @@
   return out;
 }
 
-void note_target_end(front& in, const crash_causes& causes,
-                     std::string_view request, const target& to) {
-  auto now = event_loop::steady();
-  auto end = end_number(request, to);
+void note_target_end(front& in, const target_end& it) {
+  const auto& causes = it.causes;
+  auto end = end_number(it.request, it.to);
   auto sound = is_sound(in.crashes, causes.content);
   if (!sound)
-    record_and_queue(in, {.key = causes.content, .number = end, .at = now});
+    record_and_queue(in, {.key = causes.content, .number = end, .at = it.at});
   // Recording the parts may evict this record.
   auto ends = in.crashes.records.at(causes.content).ends.size();
-  auto parts = parts_to_record(in.crashes, causes.parts, now);
+  auto parts = parts_to_record(in.crashes, causes.parts, it.at);
   for (auto part : parts)
-    record_and_queue(in, {.key = part, .number = end, .at = now});
-  in.log.add("target_ended", {{"request_id", request},
+    record_and_queue(in, {.key = part, .number = end, .at = it.at});
+  in.log.add("target_ended", {{"request_id", it.request},
                               {"content", hex(causes.content)},
                               {"parts", format_keys(causes.parts)},
                               {"parts_recorded", format_keys(parts)},
-                              {"target", to.id},
+                              {"target", it.to.id},
                               {"ends", std::uint64_t{ends}},
                               {"sound", sound}});
 }
 
+void note_target_silence(front& in, target_end it) {
+  in.log.add("target_silent", {{"request_id", it.request},
+                               {"content", hex(it.causes.content)},
+                               {"target", it.to.id}});
+  if (note_silence(in.silences, std::move(it)))
+    in.log.add("target_silence_forgotten", {});
+}
+
+void note_ends_of_silent_targets(front& in, instant now) {
+  for (const auto& it : take_ended(in.silences, in.targets, now))
+    note_target_end(in, it);
+}
+
 void note_answer(front& in, std::uint64_t content) {
   if (!in.crashes.records.contains(content) || is_sound(in.crashes, content))
     return;
--- a/src/serving/crash-system.h
+++ b/src/serving/crash-system.h
@@ -19,11 +19,17 @@
 /// Computes the keys under which crashes of a request are recorded.
 crash_causes crash_causes_of(const http_request& request);
 
-/// Records that a target ended, or may have ended, while running a request.
-/// \param request id of the request.
-/// \param to the target.
-void note_target_end(front& in, const crash_causes& causes,
-                     std::string_view request, const target& to);
+/// Records that a target ended while running a request.
+/// \param it the request, the target, and when it ended.
+void note_target_end(front& in, const target_end& it);
+
+/// Records that a target fell silent while running a request. It counts as an
+/// end if the list of targets shows it within seconds.
+void note_target_silence(front& in, target_end it);
+
+/// Records the ends of targets that had fallen silent.
+/// \param now current time on the steady clock.
+void note_ends_of_silent_targets(front& in, instant now);
 
 /// Records that a target answered a request.
 void note_answer(front& in, std::uint64_t content);
--- a/src/serving/daemon.cc
+++ b/src/serving/daemon.cc
@@ -142,6 +142,7 @@
     log_abandoned(in, now);
     remove_expired_targets(in);
     remove_outdated_jobs(in);
+    note_ends_of_silent_targets(in, now);
     forget_crashes(in, now);
     observe_versions(in, now);
     write_versions(in, now);
--- a/src/serving/front.h
+++ b/src/serving/front.h
@@ -33,6 +33,7 @@
 #include "fulmarpitch/serving/returns.h"
 #include "fulmarpitch/serving/routes.h"
 #include "fulmarpitch/serving/settings.h"
+#include "fulmarpitch/serving/silent-ends.h"
 #include "fulmarpitch/serving/store.h"
 #include "fulmarpitch/serving/targets.h"
 #include "fulmarpitch/serving/versions.h"
@@ -75,6 +76,8 @@
   /// The target sent nothing to any request of this daemon for
   /// `silence_timeout`.
   bool target_silent = false;
+  /// This daemon closed the link because the target was silent.
+  bool closed_silent = false;
   /// This daemon closed the link: the client disconnected, or the batch item
   /// was preempted or withdrawn.
   bool stopped = false;
@@ -203,6 +206,7 @@
   /// Requests during which targets crashed.
   crash_registry crashes;
   crash_row_queue crash_rows;
+  silent_ends silences;
 
   version_state versions;
   /// Resumable streams that targets began for this daemon.
--- a/src/serving/online.cc
+++ b/src/serving/online.cc
@@ -267,6 +267,20 @@
   note_parts_answered(in, causes_of(it).parts);
 }
 
+/// Records what a failed attempt shows of its target.
+void note_evidence(front& in, online_request& it, target_evidence evidence) {
+  if (evidence == target_evidence::none) return;
+  auto end = target_end{.causes = causes_of(it),
+                        .request = it.id,
+                        .to = it.to,
+                        .at = event_loop::steady()};
+  if (evidence == target_evidence::silent) {
+    note_target_silence(in, std::move(end));
+  } else {
+    note_target_end(in, end);
+  }
+}
+
 /// Consumes the complete events that have arrived. Events of a resumable stream
 /// are forwarded here, so that it can resume after the last complete one.
 void forward_events(online_request& it, event_splitter& events) {
@@ -288,8 +302,7 @@
   auto late = code_of(status) == error_code::deadline_exceeded;
   if (!late) record_target_failure(in, it.to.id, target_fault::broke_off);
   auto faulty = end == stream_end::endless || end == stream_end::other_type;
-  auto lost = !faulty && is_target_lost(entry, status);
-  if (lost) note_target_end(in, causes_of(it), it.id, it.to);
+  if (!faulty) note_evidence(in, it, evidence_of(entry, status));
 }
 
 /// Records which software began a resumable stream.
@@ -381,8 +394,7 @@
     auto why = std::string(body.status().message());
     in.log.add("answer_not_read",
                {{"request_id", it.id}, {"target", it.to.id}, {"why", why}});
-    if (is_target_lost(entry, body.status()))
-      note_target_end(in, causes_of(it), it.id, it.to);
+    note_evidence(in, it, evidence_of(entry, body.status()));
     co_return serve_outcome::broken;
   }
   if (success) {
@@ -454,7 +466,7 @@
     it.attempt = nullptr;
     log_attempt(in, outgoing, to, attempt);
     if (attempt.outcome == attempt_outcome::broken) note_run(it);
-    if (attempt.target_lost) note_target_end(in, causes_of(it), it.id, it.to);
+    note_evidence(in, it, attempt.evidence);
     co_return attempt.outcome == attempt_outcome::broken
         ? serve_outcome::broken
         : serve_outcome::not_run;
--- a/src/serving/slots.cc
+++ b/src/serving/slots.cc
@@ -130,7 +130,9 @@
       record_target_failure(in, it.target, target_fault::silent);
     }
     if (!it.repeatable || !it.link || !it.link->is_open()) continue;
-    if (may_close(in, it, now)) it.link->close();
+    if (!may_close(in, it, now)) continue;
+    it.closed_silent = true;
+    it.link->close();
   }
 }
 
--- a/test/crashing-request-test.cc
+++ b/test/crashing-request-test.cc
@@ -132,6 +132,42 @@
   CHECK(poison_runs(it) == known);
 }
 
+namespace {
+
+/// Says nothing any more on the crashing content, like a target whose VM is
+/// lost.
+scripted_answer go_dark(const std::string& head) {
+  if (head.find(" /again/poison ") == std::string::npos) return whole(head);
+  return {.silent = true};
+}
+
+}  // namespace
+
+TEST_CASE(
+    "a request under which targets went dark is held when they are gone") {
+  auto& it = make_fixture();
+  for (auto n = 0; n < 4; ++n)
+    it.add_target(go_dark);
+  it.start();
+  auto lost = std::size_t{0};
+  for (auto n = 0; lost < ends_until_known && n < 3; ++n) {
+    (void)it.post("/again/poison", concat("p", n));
+    lost = 0;
+    for (auto t = std::size_t{0}; t < it.targets.size(); ++t) {
+      if (it.targets[t].heads.empty()) continue;
+      it.store.remove("servers", concat("t", t + 1));
+      ++lost;
+    }
+  }
+  REQUIRE(lost >= ends_until_known);
+  auto& fresh = it.add_target(whole);
+  it.run_for(1500ms);
+  auto answer = it.post("/again/poison", "late");
+  REQUIRE(answer.ok());
+  CHECK(answer->status == 503);
+  CHECK(fresh.heads.empty());
+}
+
 TEST_CASE("requests broken off by one run of a target count as one end") {
   static auto ends_left = 3;
   auto& it = make_fixture();
--- a/test/silent-target-test.cc
+++ b/test/silent-target-test.cc
@@ -109,3 +109,52 @@
     CHECK(answer->body == whole_text());
   }
 }
+
+namespace {
+
+/// Sends the same content several times at once.
+std::vector<absl::StatusOr<http_response>> post_at_once(fixture& it, int count,
+                                                        std::string path) {
+  auto out = std::vector<absl::StatusOr<http_response>>();
+  for (auto n = 0; n < count; ++n) {
+    fetch(it.loop,
+          {.address = it.client_address,
+           .request = {.method = "POST",
+                       .target = path,
+                       .headers = {{"Host", "h"},
+                                   {"Fulmarpitch-Attempt-Id", concat("a", n)}},
+                       .body = "prompt"},
+           .idle_timeout = 8s},
+          [&out, &it, count](auto answer) {
+            out.push_back(std::move(answer));
+            if (out.size() == static_cast<std::size_t>(count)) it.loop.stop();
+          });
+  }
+  it.loop.run();
+  return out;
+}
+
+}  // namespace
+
+// Silence is no sign that a request crashes targets: such requests were held
+// back, and cut off if their answer had begun.
+TEST_CASE("requests that find all targets silent are served") {
+  auto& it = make_fixture();
+  auto script = scripted_target::script(pause_inside);
+  SECTION("before an answer begins") {
+    script = [](const std::string& head) {
+      auto out = whole(head);
+      out.delay = 1200ms;
+      return out;
+    };
+  }
+  SECTION("in the middle of a stream") {}
+  for (auto n = 0; n < 6; ++n)
+    it.add_target(script);
+  it.start();
+  for (const auto& answer : post_at_once(it, 6, "/again/1")) {
+    REQUIRE(answer.ok());
+    CHECK(answer->status == 200);
+    CHECK(answer->body == whole_text());
+  }
+}
