--- a/src/serving/silent-ends.cc
+++ b/src/serving/silent-ends.cc
@@ -33,8 +33,11 @@
   auto left = std::deque<target_end>();
   for (auto& it : ends.waiting) {
     auto fate = fate_of(it, table, ends.options, now);
-    if (fate == target_fate::ended) out.push_back(std::move(it));
-    if (fate == target_fate::unknown) left.push_back(std::move(it));
+    if (fate == target_fate::ended) {
+      out.push_back(std::move(it));
+    } else if (fate == target_fate::unknown) {
+      left.push_back(std::move(it));
+    }
   }
   ends.waiting = std::move(left);
   return out;
--- a/test/silent-target-test.cc
+++ b/test/silent-target-test.cc
@@ -113,8 +113,8 @@
 namespace {
 
 /// Sends the same content several times at once.
-std::vector<absl::StatusOr<http_response>> post_at_once(fixture& it, int count,
-                                                        std::string path) {
+std::vector<absl::StatusOr<http_response>> post_at_once(
+    fixture& it, int count, const std::string& path) {
   auto out = std::vector<absl::StatusOr<http_response>>();
   for (auto n = 0; n < count; ++n) {
     fetch(it.loop,
