Hold no daemon of the soak to its promises while the store is down

Cause: the check counted 4 s from the beginning of a fault of the store. Outages last up to 8 s now, so that daemons were held to the newest configuration while none could read it.

Change: while a fault of the store lasts, no daemon counts as in touch; overlapping faults end with the last of them.

--- a/src/soak/soak-run.cc
+++ b/src/soak/soak-run.cc
@@ -123,6 +123,8 @@
   std::uint64_t configuration = 1;
   instant configured{};
   instant store_harmed{};
+  /// Faults of the store that last; several may overlap.
+  int store_faults = 0;
   instant began{};
   bool callers_stop = false;
   bool faults_stop = false;
@@ -178,7 +180,7 @@
 bool in_touch(const run_state& it, const daemon_row& daemon) {
   auto since = std::max(daemon.disturbed, it.store_harmed);
   return daemon.process && !daemon.stopping && !daemon.frozen &&
-         event_loop::steady() - since > touch_time;
+         it.store_faults == 0 && event_loop::steady() - since > touch_time;
 }
 
 /// A target ends, with all that it runs, and starts again.
@@ -637,10 +639,12 @@
   auto fault = store_fault_names[1 + it.draw(faults)].first;
   tell(it, concat("store ", name_in(store_fault_names, fault)));
   it.store.set_fault(fault);
+  ++it.store_faults;
   auto is_long = it.draw(4) == 0;
   co_await pause_for(is_long ? it.draw_time(5000, 8000)
                              : it.draw_time(300, 3000));
-  it.store.set_fault(store_fault::none);
+  --it.store_faults;
+  if (it.store_faults == 0) it.store.set_fault(store_fault::none);
   it.store_harmed = event_loop::steady();
 }
 
