--- a/test/silent-play-test.cc
+++ b/test/silent-play-test.cc
@@ -2,7 +2,6 @@
 // and go on, beside changes of the configuration: requests of every kind are
 // answered whole.
 
-#include <array>
 #include <catch2/catch.hpp>
 #include <random>
 
