Collect the receivers of a summary once all addresses are known

Cause: pointers into the table of addresses were collected while addresses of newly named members were added, and the table moves its rows as it grows.

Change: the addresses are added first.

Result: far-data-centre-test, "a summary that names many new members is answered", fails under sanitizers without the change (heap-use-after-free) and holds with it.

--- a/src/serving/reports.cc
+++ b/src/serving/reports.cc
@@ -156,8 +156,11 @@
       it != front_.board.summaries.end() &&
       !it->second.summary.members.empty() &&
       now - it->second.heard < options_.silence_timeout) {
-    for (const auto& member : it->second.summary.members) {
+    const auto& members = it->second.summary.members;
+    // Adding an address may move the others.
+    for (const auto& member : members)
       add_address(member.address, data_centre);
+    for (const auto& member : members) {
       if (auto row = peers_.find(member.address); row != peers_.end())
         all.push_back(&row->second);
     }
--- a/test/far-data-centre-test.cc
+++ b/test/far-data-centre-test.cc
@@ -146,14 +146,20 @@
   udp::endpoint to;
   std::uint64_t sequence = 0;
   bool silent = false;
+  /// The summary names this many members.
+  int members = 0;
 
   void send() {
     if (silent) return;
-    auto bytes = serving::encode_summary(
-        {.sender_data_centre = "far",
-         .sender_address = "127.0.0.9",
-         .summary = {
-             .data_centre = "far", .gatherer = 1, .sequence = ++sequence}});
+    auto summary = serving::load_summary{
+        .data_centre = "far", .gatherer = 1, .sequence = ++sequence};
+    for (auto n = 1; n <= members; ++n) {
+      auto ip = concat("127.0.9.", n);
+      summary.members.push_back({.name = ip, .incarnation = 1, .address = ip});
+    }
+    auto bytes = serving::encode_summary({.sender_data_centre = "far",
+                                          .sender_address = "127.0.0.9",
+                                          .summary = std::move(summary)});
     socket.send_to(asio::buffer(bytes), to);
   }
 };
@@ -185,3 +191,16 @@
   it.until([&] { return preemptions(it) >= 2; });
   CHECK(preemptions(it) >= 2);
 }
+
+// The table of addresses grew while its rows were being chosen.
+TEST_CASE("a summary that names many new members is answered") {
+  auto& it = make_fixture();
+  it.add_target(whole);
+  it.start();
+  auto far = send_summaries(it);
+  for (far->members = 4; far->members < 200; far->members *= 2)
+    it.run_for(1200ms);
+  auto answer = it.post("/once/1", "a1");
+  REQUIRE(answer.ok());
+  CHECK(answer->body == whole_text());
+}
