Read the results of large jobs page after page in the soak

Cause: the check, not the daemons. In its last 25 s the soak reads one page of each open job and pauses for 0.2 s; a page holds one output that is longer than a row, of which a large job has some 33.

Ruled out: items that wait although targets are free. All attempts ended, and the targets' slots were in use as long as items waited.

Change: a page that brings something is followed by the next one at once, and a run draws four large jobs at most. The time in which jobs must complete stays at 25 s.

--- a/src/soak/soak-run.cc
+++ b/src/soak/soak-run.cc
@@ -35,6 +35,10 @@
 constexpr std::uint64_t jobs_per_large_job = 10;
 constexpr std::uint64_t items_per_long_output = 6;
 
+/// Limit on large jobs in a run. The targets run their items in half of the
+/// time in which all jobs must complete.
+constexpr std::uint32_t max_large_jobs = 4;
+
 constexpr auto call_timeout = std::chrono::seconds(5);
 
 /// A daemon that has had no fault for this long is held to its promises, as the
@@ -129,6 +133,7 @@
   bool callers_stop = false;
   bool faults_stop = false;
   std::uint32_t busy = 0;
+  std::uint32_t large_jobs = 0;
   soak_report report;
 
   std::uint64_t draw(std::uint64_t below) { return random() % below; }
@@ -528,13 +533,30 @@
   note_results(it.report.seen, job, from, ids);
 }
 
+/// Reads the new results of a job, page after page.
+/// \param until no page is asked for after this time.
+task<void> read_new_results(run_state& it, std::string job, instant until) {
+  const auto& known = it.report.seen.jobs[job].positions;
+  auto before = std::size_t{0};
+  do {
+    before = known.size();
+    co_await read_results(it, job, before);
+  } while (known.size() > before && event_loop::steady() < until);
+}
+
+std::size_t draw_item_count(run_state& it) {
+  if (it.draw(jobs_per_large_job) != 0) return items_per_job;
+  if (it.large_jobs == max_large_jobs) return items_per_job;
+  ++it.large_jobs;
+  return platform::max_job_items;
+}
+
 task<void> call_batch(run_state& it) {
   auto mark = busy_mark(it);
   while (!it.callers_stop) {
     auto job = it.draw_id();
     auto& view = it.report.seen.jobs[job];
-    auto count = it.draw(jobs_per_large_job) == 0 ? platform::max_job_items
-                                                  : items_per_job;
+    auto count = draw_item_count(it);
     while (view.items.size() < count)
       view.items.insert(draw_item(it));
     for (const auto& item : view.items)
@@ -791,13 +813,13 @@
     co_await pause_for(std::chrono::milliseconds(50));
   auto until = event_loop::steady() + it.options.recovery;
   while (!all_jobs_complete(it) && event_loop::steady() < until) {
-    auto open = std::vector<std::pair<std::string, std::size_t>>();
+    auto open = std::vector<std::string>();
     for (const auto& [id, job] : it.report.seen.jobs) {
       if (job.accepted && job.positions.size() < job.items.size())
-        open.emplace_back(id, job.positions.size());
+        open.push_back(id);
     }
-    for (const auto& [id, known] : open)
-      co_await read_results(it, id, known);
+    for (const auto& id : open)
+      co_await read_new_results(it, id, until);
     co_await pause_for(std::chrono::milliseconds(200));
   }
   for (const auto& [id, job] : std::map(it.report.seen.jobs)) {
