Log and count how the connections of clients end

A request that is never read leaves no line, and the end of a client's connection was neither logged nor counted, so that no hypothesis could be told from another.

Every end has a reason now and is counted by it. An end before an answer is complete is logged with the request's id. A connection that is idle is closed in the direction to the client first and wholly when the client has closed it, or after a second: a request that arrives meanwhile is reported as crossed. It is not read, as before, so that its client knows that it has not run.

--- a/include/fulmarpitch/net/http.h
+++ b/include/fulmarpitch/net/http.h
@@ -6,6 +6,7 @@
 #include <absl/status/status.h>
 #include <absl/status/statusor.h>
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <limits>
@@ -96,6 +97,45 @@
   std::size_t max_all_unsent_bytes = std::numeric_limits<std::size_t>::max();
 };
 
+/// Why a connection of a client ends.
+enum class connection_end {
+  /// The last answer was sent, and one side had asked for the end.
+  answered,
+  /// A request was refused before it was read whole.
+  refused,
+  /// The client sent no request for the idle timeout.
+  idle,
+  /// The server stops, and no request had begun.
+  stopping,
+  /// The client closed the connection.
+  client_left,
+  /// The client does not take its answer.
+  client_stuck,
+  /// The answer cannot be completed, and must not look complete.
+  answer_broken_off,
+};
+
+inline constexpr std::array<named<connection_end>, 7> connection_end_names{{
+    {connection_end::answered, "answered"},
+    {connection_end::refused, "refused"},
+    {connection_end::idle, "idle"},
+    {connection_end::stopping, "stopping"},
+    {connection_end::client_left, "client_left"},
+    {connection_end::client_stuck, "client_stuck"},
+    {connection_end::answer_broken_off, "answer_broken_off"},
+}};
+
+/// The end of a client's connection.
+struct ended_connection {
+  connection_end why = connection_end::answered;
+  /// The request that gets no complete answer; null if there is none.
+  const http_request* unanswered = nullptr;
+  /// Time since that request was read, or without one since the last answer.
+  instant elapsed{};
+  /// Closed as idle: a request arrived behind the close and was not read.
+  bool crossed = false;
+};
+
 /// Listens and hands requests to a function.
 class http_server {
  public:
@@ -114,6 +154,9 @@
   http_server(const http_server&) = delete;
   http_server& operator=(const http_server&) = delete;
 
+  /// Sets a function that learns of every connection that ends.
+  void on_connection_end(std::function<void(const ended_connection&)> work);
+
   /// Binds and starts to accept.
   /// \return an error when the address can't be bound.
   absl::Status start();
@@ -126,7 +169,7 @@
   /// Stops accepting; open exchanges go on.
   void stop_accepting();
 
-  /// Closes the connections on which no request has begun.
+  /// Closes the connections on which no request has begun, as the server stops.
   void close_idle();
 
   /// \return exchanges that have not ended.
--- a/src/net/http-server.cc
+++ b/src/net/http-server.cc
@@ -82,6 +82,14 @@
   return concat(size, "\r\n", piece, "\r\n");
 }
 
+/// \return whether a connection may end for this reason while a request that
+///     was read on it is not answered.
+bool may_leave_unanswered(connection_end why) {
+  return why == connection_end::client_left ||
+         why == connection_end::client_stuck ||
+         why == connection_end::answer_broken_off;
+}
+
 bool is_bad_input(const boost::system::error_code& ec) {
   const auto& parser_errors =
       make_error_code(http::error::bad_method).category();
@@ -105,6 +113,7 @@
   http_server_options options;
   handler take;
   streams_body streams;
+  std::function<void(const ended_connection&)> on_end;
   std::unordered_set<class http_session*> sessions;
   /// Sum over the sessions.
   std::size_t unsent = 0;
@@ -113,19 +122,6 @@
   bool stopped = false;
 };
 
-/// Why a connection of a client ends.
-enum class connection_end {
-  /// Nothing is left to answer: the client asked for the end, sent nothing for
-  /// the idle timeout, or its request was answered or refused.
-  nothing_to_answer,
-  /// The client closed the connection.
-  client_left,
-  /// The client does not take its answer.
-  client_stuck,
-  /// The answer cannot be completed, and must not look complete.
-  answer_broken_off,
-};
-
 /// A connection of a client.
 class http_session : public std::enable_shared_from_this<http_session> {
  public:
@@ -138,7 +134,7 @@
   http_session& operator=(const http_session&) = delete;
   void start();
   void close(connection_end why);
-  void close_if_idle();
+  void close_if_stopping();
   void close_if_expired(instant now);
   bool has_exchange() const { return current_ != nullptr; }
   std::size_t unsent() const { return unsent_; }
@@ -151,6 +147,8 @@
   asio::awaitable<void> linger();
   asio::awaitable<void> send_all();
   void bound_input();
+  void half_close(instant now);
+  void report_end(connection_end why);
   void end_late_read(instant now);
   void enqueue(std::string bytes);
   void note_taken(std::size_t bytes);
@@ -171,14 +169,19 @@
   bool closed_ = false;
   /// A request's first byte was read, and its answer has not ended.
   bool busy_ = false;
-  /// A request was refused before it was read whole.
-  bool refused_ = false;
+  /// Why the connection ends once its work is done.
+  connection_end end_ = connection_end::answered;
   instant write_began_{};
   /// When the head or the body that is being read is due; empty if none is.
   std::optional<instant> read_deadline_;
   /// When the wait for a request began, and the idle timeout at that time.
   instant idle_since_{};
   instant idle_timeout_{};
+  /// When the connection was closed as idle in the direction to the client.
+  std::optional<instant> half_closed_at_;
+  bool crossed_ = false;
+  /// When the request that is being served was read.
+  instant request_read_{};
   std::shared_ptr<class server_exchange> current_;
   asio::steady_timer ended_;
 };
@@ -353,8 +356,8 @@
     ended_.expires_after(std::chrono::milliseconds(10));
     co_await ended_.async_wait(asio::redirect_error(asio::use_awaitable, ec));
   }
-  if (refused_ && !closed_) co_await linger();
-  close(connection_end::nothing_to_answer);
+  if (end_ == connection_end::refused && !closed_) co_await linger();
+  close(end_);
 }
 
 asio::awaitable<void> http_session::linger() {
@@ -377,9 +380,13 @@
   while (!has_input()) {
     co_await stream_.socket().async_wait(
         tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, ec));
-    if (ec || closed_ || is_closed_by_client()) co_return false;
+    if (ec || closed_) co_return false;
+    if (!is_closed_by_client()) continue;
+    if (!half_closed_at_) end_ = connection_end::client_left;
+    co_return false;
   }
-  co_return true;
+  crossed_ = half_closed_at_.has_value();
+  co_return !crossed_;
 }
 
 void http_session::bound_input() {
@@ -432,9 +439,10 @@
     read_deadline_ = event_loop::steady() + server_->options.client_timeout;
     co_await http::async_read(stream_, buf_, text, token);
     read_deadline_.reset();
+    auto refused = end_ == connection_end::refused;
     if (ec == http::error::body_limit) {
       refuse(error_code::too_large, "the request body is too large");
-    } else if (ec && ec != http::error::end_of_stream && !refused_) {
+    } else if (ec && ec != http::error::end_of_stream && !refused) {
       refuse(error_code::bad_request, ec.message());
     }
     if (ec) co_return false;
@@ -444,6 +452,7 @@
   current_ = std::make_shared<server_exchange>(shared_from_this(),
                                                std::move(request), keep_alive);
   current_->set_parser(std::move(parser));
+  request_read_ = event_loop::steady();
   if (!streamed) watch_for_close();
   server_->take(handle_of(current_));
   while (!current_->done() && !closed_) {
@@ -536,16 +545,16 @@
                               .headers = {{"Content-Type", "application/json"}},
                               .body = std::move(body)};
   enqueue(head_text(answer, false, false) + answer.body);
-  refused_ = true;
+  end_ = connection_end::refused;
 }
 
 void http_session::close(connection_end why) {
   if (closed_) return;
   auto waits = current_ && !current_->done();
-  ensure(!waits || why != connection_end::nothing_to_answer,
-         invariant::whole_answer,
+  ensure(!waits || may_leave_unanswered(why), invariant::whole_answer,
          "a connection ends before the request that was read is answered");
   closed_ = true;
+  report_end(why);
   outbox_.clear();
   drop_unsent();
   auto ec = boost::system::error_code();
@@ -554,12 +563,30 @@
   if (auto it = current_) it->notify_closed();
 }
 
+void http_session::report_end(connection_end why) {
+  if (!server_->on_end) return;
+  auto is_cut = current_ &&
+                (!current_->done() || why == connection_end::answer_broken_off);
+  auto since = current_ ? request_read_ : idle_since_;
+  server_->on_end({.why = why,
+                   .unanswered = is_cut ? &current_->request() : nullptr,
+                   .elapsed = event_loop::steady() - since,
+                   .crossed = crossed_});
+}
+
 bool http_session::is_idle() {
   return !busy_ && !sending_ && !has_input();
 }
 
-void http_session::close_if_idle() {
-  if (is_idle()) close(connection_end::nothing_to_answer);
+void http_session::close_if_stopping() {
+  if (is_idle()) close(connection_end::stopping);
+}
+
+void http_session::half_close(instant now) {
+  auto ec = boost::system::error_code();
+  stream_.socket().shutdown(tcp::socket::shutdown_send, ec);
+  half_closed_at_ = now;
+  end_ = connection_end::idle;
 }
 
 // Bytes that have arrived and are not read yet were in time: this process may
@@ -584,7 +611,10 @@
   // Clients reuse connections by the timeout that they know: a shorter one
   // holds for later waits only.
   auto timeout = std::max(idle_timeout_, options.idle_timeout);
-  if (idle_since_.count() > 0 && now - idle_since_ > timeout) close_if_idle();
+  if (idle_since_.count() == 0 || now - idle_since_ <= timeout || !is_idle())
+    return;
+  if (!half_closed_at_) return half_close(now);
+  if (now - *half_closed_at_ > linger_timeout) close(connection_end::idle);
 }
 
 namespace {
@@ -621,6 +651,7 @@
 
 http_server::~http_server() {
   impl_->stopped = true;
+  impl_->on_end = nullptr;
   stop_accepting();
 }
 
@@ -640,6 +671,11 @@
   return absl::OkStatus();
 }
 
+void http_server::on_connection_end(
+    std::function<void(const ended_connection&)> work) {
+  impl_->on_end = std::move(work);
+}
+
 void http_server::set_limits(const http_server_options& options) {
   auto host = impl_->options.host;
   auto port = impl_->options.port;
@@ -651,7 +687,7 @@
 void http_server::close_idle() {
   auto all = std::vector(impl_->sessions.begin(), impl_->sessions.end());
   for (auto* it : all)
-    it->close_if_idle();
+    it->close_if_stopping();
 }
 
 std::size_t http_server::unsent_bytes() const {
--- a/src/serving/daemon.cc
+++ b/src/serving/daemon.cc
@@ -57,13 +57,41 @@
   }
 }
 
+/// Counts the end of a client's connection, and logs it if a request got no
+/// complete answer.
+void note_connection_end(front& in, const ended_connection& it) {
+  ++in.connection_ends[static_cast<std::size_t>(it.why)];
+  if (it.crossed) ++in.requests_crossed;
+  if (it.unanswered == nullptr && !it.crossed) return;
+  auto id = std::string_view();
+  if (it.unanswered != nullptr)
+    id = find_header(it.unanswered->headers, platform::header::request_id);
+  in.log.add("connection_ended",
+             {{"request_id", id},
+              {"why", name_in(connection_end_names, it.why)},
+              {"crossed", it.crossed},
+              {"since_us", std::int64_t{it.elapsed.count()}}});
+}
+
+std::string connection_ends_text(const front& in) {
+  auto out = std::string("# TYPE fulmar_connections_ended_total counter\n");
+  for (const auto& [end, name] : connection_end_names) {
+    auto n = in.connection_ends[static_cast<std::size_t>(end)];
+    out +=
+        concat("fulmar_connections_ended_total{why=\"", name, "\"} ", n, "\n");
+  }
+  return out;
+}
+
 std::string metrics_text(front& in) {
   auto count = [](std::string_view name, std::uint64_t value) {
     return concat("# TYPE fulmar_", name, " gauge\nfulmar_", name, " ", value,
                   "\n");
   };
   return concat(
-      in.metrics_registry.text(), count("store_calls", in.store_counts.calls),
+      in.metrics_registry.text(), connection_ends_text(in),
+      count("requests_crossed", in.requests_crossed),
+      count("store_calls", in.store_counts.calls),
       count("store_call_failures", in.store_counts.failures),
       count("configuration_version", in.configuration->version),
       count("targets", in.targets.rows.size()),
@@ -83,6 +111,8 @@
   in.clients = std::make_unique<http_server>(
       in.loop, *clients,
       [&in](const auto& client) { handle_request(in, client); });
+  in.clients->on_connection_end(
+      [&in](const auto& it) { note_connection_end(in, it); });
   auto ready = parse_address(in.settings.ready_address);
   if (!ready.ok()) return ready.status();
   in.readiness_server = std::make_unique<http_server>(
--- a/src/serving/discovery.cc
+++ b/src/serving/discovery.cc
@@ -81,7 +81,10 @@
          "an older configuration came into force");
   apply_limits(in);
   in.log.add("configuration_in_force",
-             {{"version", in.configuration->version}, {"before", before}});
+             {{"version", in.configuration->version},
+              {"before", before},
+              {"idle_us",
+               std::int64_t{in.configuration->limits.idle_timeout.count()}}});
 }
 
 /// Removes a target that is no longer listed. Entries that expired in a store
--- a/src/serving/front.h
+++ b/src/serving/front.h
@@ -7,6 +7,7 @@
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
 
+#include <array>
 #include <deque>
 #include <limits>
 #include <list>
@@ -242,6 +243,10 @@
   metrics metrics_registry;
   std::unique_ptr<report_exchange> reports;
   std::unique_ptr<http_server> clients;
+  /// Connections of clients that ended, by the reason.
+  std::array<std::uint64_t, connection_end_names.size()> connection_ends{};
+  /// Requests that arrived behind the close of an idle connection.
+  std::uint64_t requests_crossed = 0;
   std::unique_ptr<http_server> readiness_server;
   std::unique_ptr<http_server> metrics_server;
   /// The daemon is shutting down.
--- a/test/http-test.cc
+++ b/test/http-test.cc
@@ -218,6 +218,39 @@
   CHECK(client.read_status().empty());
 }
 
+TEST_CASE("a request behind the close of an idle connection is reported") {
+  auto it = fixture(echo);
+  it.server->set_limits({.idle_timeout = std::chrono::milliseconds(300)});
+  auto ends = std::vector<ended_connection>();
+  it.server->on_connection_end([&](const ended_connection& end) {
+    ends.push_back(end);
+    it.loop.stop();
+  });
+  auto client = kept_client(it.loop, it.server->port());
+  client.send("/1");
+  REQUIRE(client.read_status() == "HTTP/1.1 200 OK");
+  REQUIRE(client.read_status().empty());
+  client.send("/2");
+  it.loop.run();
+  REQUIRE(ends.size() == 1);
+  CHECK(ends[0].why == connection_end::idle);
+  CHECK(ends[0].crossed);
+}
+
+TEST_CASE("the end of a connection names the request that is not answered") {
+  auto it = fixture([](const auto& exchange) {
+    exchange->start_stream({});
+    exchange->abort();
+  });
+  auto target = std::string();
+  it.server->on_connection_end([&](const ended_connection& end) {
+    CHECK(end.why == connection_end::answer_broken_off);
+    if (end.unanswered != nullptr) target = end.unanswered->target;
+  });
+  CHECK_FALSE(it.call({.target = "/begun"}).ok());
+  CHECK(target == "/begun");
+}
+
 TEST_CASE("a request that arrives while the process stands still is read") {
   auto it = fixture(echo);
   constexpr auto timeout = std::chrono::milliseconds(300);
