State how long a connection may stay idle, and keep it open for longer

Cause: the daemon closed a connection that had been idle for the timeout, 15 s, while the client's next request was on its way. It never told its clients how long a connection stays open, and its close allowed for no way between the two.

Change: each answer that keeps its connection states `Keep-Alive: timeout=N`, the idle timeout in whole seconds. The connection stays open for the longest time that its client was told, or the timeout if that is longer, and 1.5 s more.

--- a/src/net/http-server.cc
+++ b/src/net/http-server.cc
@@ -38,6 +38,11 @@
 constexpr auto linger_timeout = std::chrono::seconds(1);
 constexpr std::size_t max_linger_bytes = std::size_t{4} * 1024 * 1024;
 
+/// A connection stays open for this long beyond the time that its client was
+/// told, so that a request which is sent within that time arrives before the
+/// close, also after a lost packet.
+constexpr auto idle_margin = std::chrono::milliseconds(1500);
+
 constexpr int status_request_timeout = 408;
 constexpr int status_internal_error = 500;
 
@@ -55,14 +60,18 @@
   return out;
 }
 
+/// \param idle_time how long the client may leave the connection idle; nothing
+///     if it ends with the answer.
 std::string head_text(const http_response& from, bool chunked,
-                      bool keep_alive) {
+                      std::optional<std::chrono::seconds> idle_time) {
   auto head = http::response<http::empty_body>();
   head.version(11);
   head.result(static_cast<unsigned>(from.status));
   for (const auto& it : from.headers)
     head.insert(it.name, it.value);
-  head.keep_alive(keep_alive);
+  head.keep_alive(idle_time.has_value());
+  if (idle_time)
+    head.set(http::field::keep_alive, concat("timeout=", idle_time->count()));
   if (chunked) {
     head.chunked(true);
   } else {
@@ -147,6 +156,7 @@
   asio::awaitable<void> linger();
   asio::awaitable<void> send_all();
   void bound_input();
+  std::chrono::seconds promise_idle_time();
   void half_close(instant now);
   void report_end(connection_end why);
   void end_late_read(instant now);
@@ -174,8 +184,10 @@
   instant write_began_{};
   /// When the head or the body that is being read is due; empty if none is.
   std::optional<instant> read_deadline_;
-  /// When the wait for a request began, and the idle timeout at that time.
+  /// When the wait for a request began.
   instant idle_since_{};
+  /// The longest time that the client was told it may wait before its next
+  /// request, or the timeout at the start of the wait if that is longer.
   instant idle_timeout_{};
   /// When the connection was closed as idle in the direction to the client.
   std::optional<instant> half_closed_at_;
@@ -207,14 +219,14 @@
 
   void respond(http_response response) override {
     if (done_) return;
-    owner_->enqueue(head_text(response, false, keep_alive_) + response.body);
+    owner_->enqueue(head_text(response, false, idle_time()) + response.body);
     end();
   }
 
   void start_stream(http_response head) override {
     if (done_ || streaming_) return;
     streaming_ = true;
-    owner_->enqueue(head_text(head, true, keep_alive_));
+    owner_->enqueue(head_text(head, true, idle_time()));
   }
 
   void write(std::string piece) override {
@@ -310,6 +322,11 @@
     take(std::string());
   }
 
+  std::optional<std::chrono::seconds> idle_time() {
+    if (!keep_alive_) return std::nullopt;
+    return owner_->promise_idle_time();
+  }
+
   void end() {
     done_ = true;
     closed_ = nullptr;
@@ -376,7 +393,7 @@
 asio::awaitable<bool> http_session::wait_for_request() {
   auto ec = boost::system::error_code();
   idle_since_ = event_loop::steady();
-  idle_timeout_ = server_->options.idle_timeout;
+  idle_timeout_ = std::max(idle_timeout_, server_->options.idle_timeout);
   while (!has_input()) {
     co_await stream_.socket().async_wait(
         tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, ec));
@@ -544,7 +561,7 @@
   auto answer = http_response{.status = status,
                               .headers = {{"Content-Type", "application/json"}},
                               .body = std::move(body)};
-  enqueue(head_text(answer, false, false) + answer.body);
+  enqueue(head_text(answer, false, std::nullopt) + answer.body);
   end_ = connection_end::refused;
 }
 
@@ -574,6 +591,14 @@
                    .crossed = crossed_});
 }
 
+std::chrono::seconds http_session::promise_idle_time() {
+  auto out =
+      std::chrono::floor<std::chrono::seconds>(server_->options.idle_timeout);
+  out = std::max(out, std::chrono::seconds(1));
+  idle_timeout_ = out;
+  return out;
+}
+
 bool http_session::is_idle() {
   return !busy_ && !sending_ && !has_input();
 }
@@ -608,9 +633,8 @@
   end_late_read(now);
   if (sending_ && now - write_began_ > options.client_timeout)
     return close(connection_end::client_stuck);
-  // Clients reuse connections by the timeout that they know: a shorter one
-  // holds for later waits only.
-  auto timeout = std::max(idle_timeout_, options.idle_timeout);
+  // A shorter timeout holds for clients that have been told of it.
+  auto timeout = std::max(idle_timeout_, options.idle_timeout) + idle_margin;
   if (idle_since_.count() == 0 || now - idle_since_ <= timeout || !is_idle())
     return;
   if (!half_closed_at_) return half_close(now);
--- a/test/http-test.cc
+++ b/test/http-test.cc
@@ -66,6 +66,7 @@
           auto [ec, n] = co_await asio::async_read_until(
               it.socket, asio::dynamic_buffer(it.input), "POSTtext", as_result);
           if (!ec) to = it.input.substr(0, it.input.find("\r\n"));
+          it.answer = it.input.substr(0, n);
           it.input.erase(0, n);
           it.loop.stop();
         }(*this, out),
@@ -77,6 +78,8 @@
   event_loop& loop;
   tcp::socket socket;
   std::string input;
+  /// The last answer that was read.
+  std::string answer;
 };
 
 void echo(const std::shared_ptr<http_exchange>& it) {
@@ -218,6 +221,41 @@
   CHECK(client.read_status().empty());
 }
 
+TEST_CASE("a request sent within the stated idle time is not cut off") {
+  auto it = fixture(echo);
+  it.server->set_limits({.idle_timeout = std::chrono::milliseconds(1200)});
+  auto client = kept_client(it.loop, it.server->port());
+  client.send("/1");
+  REQUIRE(client.read_status() == "HTTP/1.1 200 OK");
+  CHECK(client.answer.find("Keep-Alive: timeout=1\r\n") != std::string::npos);
+  it.loop.after(std::chrono::milliseconds(1900), [&] { client.send("/2"); });
+  CHECK(client.read_status() == "HTTP/1.1 200 OK");
+}
+
+TEST_CASE("a timeout that falls during an answer leaves its stated idle time") {
+  auto kept = std::shared_ptr<http_exchange>();
+  auto it = fixture([&](const auto& exchange) {
+    if (exchange->request().target == "/2") return echo(exchange);
+    exchange->start_stream({});
+    kept = exchange;
+  });
+  it.server->set_limits({.idle_timeout = std::chrono::seconds(3)});
+  auto client = kept_client(it.loop, it.server->port());
+  client.send("/1");
+  it.loop.after(std::chrono::milliseconds(100), [&] {
+    it.server->set_limits({.idle_timeout = std::chrono::milliseconds(300)});
+    kept->write("POSTtext");
+    kept->finish();
+    kept.reset();
+  });
+  REQUIRE(client.read_status() == "HTTP/1.1 200 OK");
+  CHECK(client.answer.find("Keep-Alive: timeout=3\r\n") != std::string::npos);
+  // The end of the chunks.
+  client.input.clear();
+  it.loop.after(std::chrono::milliseconds(2800), [&] { client.send("/2"); });
+  CHECK(client.read_status() == "HTTP/1.1 200 OK");
+}
+
 TEST_CASE("a request behind the close of an idle connection is reported") {
   auto it = fixture(echo);
   it.server->set_limits({.idle_timeout = std::chrono::milliseconds(300)});
