Refuse connections beyond the limit instead of closing them silently

Callers whose connection was one too many saw it closed without an answer, the same as requests behind the close of an idle connection.

Cause: accept_all dropped sockets beyond 4,096 sessions. A VM with 4,100 descriptors runs out of them before that; then async_accept failed again and again without a pause or a line in the log.

Change: such a connection gets 503, as not run, without its request being read, and lingers as other refusals do. Beyond an eighth more they wait in the system's queue. Clients may take half of the VM's descriptors (`maxFds` of the settings). A failed accept is logged and followed by a pause.

Test: "a connection beyond the limit is refused, not closed silently" failed before (no answer) and holds. That the limit is reached at the users' loads is not shown; running out of descriptors was not played.

--- a/include/fulmarpitch/serving/settings.h
+++ b/include/fulmarpitch/serving/settings.h
@@ -41,6 +41,8 @@
   store_limits limits;
   /// Memory that this process may use.
   std::size_t memory_bytes = std::size_t{140} * 1024 * 1024;
+  /// Descriptors that this process may open.
+  std::size_t max_descriptors = 8192;
   /// Time between SIGTERM and SIGKILL.
   instant grace = std::chrono::seconds(8);
   /// Time after which a target that is leaving gets no new requests.
--- a/src/net/http-server.cc
+++ b/src/net/http-server.cc
@@ -43,6 +43,14 @@
 /// close, also after a lost packet.
 constexpr auto idle_margin = std::chrono::milliseconds(1500);
 
+/// Beyond the limit on connections, one in this many more is accepted to be
+/// refused; the others wait in the system's queue.
+constexpr std::size_t connections_per_refusal = 8;
+
+/// Pause after a connection could not be accepted, such as for want of
+/// descriptors.
+constexpr auto accept_pause = std::chrono::milliseconds(20);
+
 constexpr int status_request_timeout = 408;
 constexpr int status_internal_error = 500;
 
@@ -142,6 +150,8 @@
   http_session(const http_session&) = delete;
   http_session& operator=(const http_session&) = delete;
   void start();
+  /// Refuses the client's request without reading it, and ends.
+  void start_refusal();
   void close(connection_end why);
   void close_if_stopping();
   void close_if_expired(instant now);
@@ -151,6 +161,7 @@
  private:
   friend class server_exchange;
   asio::awaitable<void> run();
+  asio::awaitable<void> finish();
   asio::awaitable<bool> wait_for_request();
   asio::awaitable<bool> serve_one();
   asio::awaitable<void> linger();
@@ -364,12 +375,25 @@
       [self = shared_from_this()] { return self->run(); }, report_failure);
 }
 
+void http_session::start_refusal() {
+  busy_ = true;
+  refuse(error_code::overloaded, "too many connections");
+  asio::co_spawn(
+      stream_.get_executor(),
+      [self = shared_from_this()] { return self->finish(); }, report_failure);
+}
+
 asio::awaitable<void> http_session::run() {
   auto ec = boost::system::error_code();
   stream_.socket().set_option(tcp::no_delay(true), ec);
   while (!closed_) {
     if (!co_await serve_one()) break;
   }
+  co_await finish();
+}
+
+asio::awaitable<void> http_session::finish() {
+  auto ec = boost::system::error_code();
   while (sending_ && !closed_) {
     ended_.expires_after(std::chrono::milliseconds(10));
     co_await ended_.async_wait(asio::redirect_error(asio::use_awaitable, ec));
@@ -661,13 +685,29 @@
 
 asio::awaitable<void> accept_all(std::shared_ptr<http_server::impl> server) {
   auto ec = boost::system::error_code();
+  auto pause = asio::steady_timer(server->acceptor.get_executor());
   while (server->acceptor.is_open()) {
-    auto socket = co_await server->acceptor.async_accept(
-        asio::redirect_error(asio::use_awaitable, ec));
-    if (ec == asio::error::operation_aborted) co_return;
-    if (ec) continue;
-    if (server->sessions.size() >= server->options.max_connections) continue;
-    std::make_shared<http_session>(std::move(socket), server)->start();
+    auto most = server->options.max_connections;
+    auto socket = tcp::socket(server->acceptor.get_executor());
+    if (server->sessions.size() < most + most / connections_per_refusal + 1) {
+      socket = co_await server->acceptor.async_accept(
+          asio::redirect_error(asio::use_awaitable, ec));
+      if (ec == asio::error::operation_aborted) co_return;
+      LOG_IF_EVERY_N(ERROR, ec.failed(), 50)
+          << "cannot accept a connection: " << ec.message();
+    }
+    if (!socket.is_open()) {
+      pause.expires_after(accept_pause);
+      co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+      continue;
+    }
+    auto is_over_limit = server->sessions.size() >= most;
+    auto it = std::make_shared<http_session>(std::move(socket), server);
+    if (is_over_limit) {
+      it->start_refusal();
+    } else {
+      it->start();
+    }
   }
 }
 
--- a/src/serving/daemon.cc
+++ b/src/serving/daemon.cc
@@ -107,6 +107,7 @@
 absl::Status start_servers(front& in) {
   auto clients = parse_address(in.settings.client_address);
   if (!clients.ok()) return clients.status();
+  clients->max_connections = max_clients(in.settings);
   clients->max_all_unsent_bytes = answer_budget(in.settings);
   in.clients = std::make_unique<http_server>(
       in.loop, *clients,
--- a/src/serving/discovery.cc
+++ b/src/serving/discovery.cc
@@ -58,6 +58,7 @@
   const auto& limits = in.configuration->limits;
   in.clients->set_limits({.max_body_bytes = limits.max_body_bytes,
                           .max_header_bytes = limits.max_header_bytes,
+                          .max_connections = max_clients(in.settings),
                           .header_timeout = limits.header_timeout,
                           .idle_timeout = limits.idle_timeout,
                           .max_all_unsent_bytes = answer_budget(in.settings)});
--- a/src/serving/front.cc
+++ b/src/serving/front.cc
@@ -20,6 +20,9 @@
 /// One in this many bytes of the memory may hold answers of one kind.
 constexpr std::size_t memory_per_answers = 8;
 
+/// One in this many descriptors may be a connection of a client.
+constexpr std::size_t descriptors_per_client = 2;
+
 /// A tick that is later than this means that the process was suspended.
 constexpr auto max_tick_delay = std::chrono::milliseconds(300);
 
@@ -253,6 +256,10 @@
   return settings.memory_bytes / memory_per_answers;
 }
 
+std::size_t max_clients(const vm_settings& settings) {
+  return settings.max_descriptors / descriptors_per_client;
+}
+
 bool check_for_pause(front& in) {
   auto now = event_loop::steady();
   auto since_boot = event_loop::since_boot();
--- a/src/serving/front.h
+++ b/src/serving/front.h
@@ -350,6 +350,10 @@
 ///     of items that wait.
 std::size_t answer_budget(const vm_settings& settings);
 
+/// \return the most connections of clients; the other descriptors are left to
+///     targets, the store and other daemons.
+std::size_t max_clients(const vm_settings& settings);
+
 /// Notes a pause of the process since the main periodic work last ran: it was
 /// stopped, or its VM was suspended. What arrived meanwhile may be as old as
 /// the pause, so the copies of the store's tables are unconfirmed.
--- a/test/http-test.cc
+++ b/test/http-test.cc
@@ -317,6 +317,20 @@
   CHECK(target == "/begun");
 }
 
+TEST_CASE("a connection beyond the limit is refused, not closed silently") {
+  auto it = fixture(echo);
+  it.server->set_limits({.max_connections = 1});
+  auto first = kept_client(it.loop, it.server->port());
+  first.send("/1");
+  REQUIRE(first.read_status() == "HTTP/1.1 200 OK");
+  auto answer = it.call({.method = "POST", .body = "text"});
+  REQUIRE(answer.ok());
+  CHECK(answer->status == 503);
+  CHECK(answer->body.find("not_run") != std::string::npos);
+  first.send("/2");
+  CHECK(first.read_status() == "HTTP/1.1 200 OK");
+}
+
 TEST_CASE("a request that arrives while the process stands still is read") {
   auto it = fixture(echo);
   constexpr auto timeout = std::chrono::milliseconds(300);
--- a/test/platform-decoding-test.cc
+++ b/test/platform-decoding-test.cc
@@ -17,7 +17,7 @@
   "listen":{"front":"10.1.0.10:81","ready":"10.1.0.10:82",
             "control":"10.1.0.10:83"},
   "portRange":[7720,7735],"seeds":["10.1.0.10:83","10.2.0.4:83"],
-  "provider":{"addr":"10.9.0.1:90","rowBytes":1000},
+  "provider":{"addr":"10.9.0.1:90","rowBytes":1000},"limits":{"maxFds":4100},
   "contractParams":{"graceS":8,"drainMs":2500,"quotaOver":0.2},"new":[1]})";
 
 }  // namespace
@@ -32,6 +32,7 @@
   CHECK(it->first_peer_port == 7720);
   CHECK(it->store_address == "10.9.0.1:90");
   CHECK(it->limits.row_bytes == 1000);
+  CHECK(it->max_descriptors == 4100);
   CHECK(it->drain_delay == 2500ms);
   CHECK(it->quota_slack == 0.2);
 }
