Let begun streams wait for a silent target while others are full

Callers saw a stream cut: its target fell silent for a moment, the daemon closed it to go on elsewhere, and every other target refused it as full until the deadline.

Cause: a stream was taken from a silent target if another target of its version was trusted, whether or not that had a slot. A sound target may be silent for a second and go on.

Change: the slots that online requests could take at trusted targets of the same version are counted, and each stream that leaves takes one. Without one it waits, and leaves as soon as one is free. Targets are marked as silent before any request is closed, so that no stream moves from one silent target to another.

Test: "a stream whose other target is full waits for its silent target" failed before (no answer) and holds. That this is what was reported is not shown.

--- a/src/serving/slots.cc
+++ b/src/serving/slots.cc
@@ -33,25 +33,38 @@
   return out;
 }
 
-/// \return whether another target that is not avoided could go on with a
-///     request.
-bool has_alternative(const front& in, const live_attempt& it, instant now) {
-  return std::any_of(
-      in.targets.rows.begin(), in.targets.rows.end(), [&](const auto& other) {
-        const auto& [id, row] = other;
-        return id != it.target && origin_of(row.listed) == it.origin &&
-               trust_in(row, {}, now) != trust::none;
-      });
+/// Slots that online requests could take, by the software of the targets.
+using spare_slots = absl::flat_hash_map<stream_origin, std::uint32_t>;
+
+/// Counts the slots at targets that are not avoided.
+spare_slots count_spare_slots(front& in, instant now) {
+  auto out = spare_slots();
+  auto loads = all_loads(in.board, now);
+  auto full = find_full_targets(in, now);
+  for (const auto& [id, row] : in.targets.rows) {
+    if (trust_in(row, {}, now) == trust::none || full.contains(row.key))
+      continue;
+    auto load = loads.find(row.key);
+    auto online = load == loads.end() ? 0 : load->second.online;
+    out[origin_of(row.listed)] +=
+        row.listed.slots - std::min(online, row.listed.slots);
+  }
+  return out;
 }
 
 /// \return whether a request at a silent target may be closed. A target may be
 ///     silent for a while and go on, so a request waits for it if it may run
-///     nowhere else, or has begun and cannot go on elsewhere.
-bool may_close(const front& in, const live_attempt& it, instant now) {
+///     nowhere else, or has begun and finds no slot elsewhere.
+/// \param spare is reduced by the slot that the request takes.
+bool may_close(const live_attempt& it, spare_slots& spare) {
   if (it.kind == work_kind::batch) return true;
   if (it.is_last) return false;
   auto has_begun = it.has_output || it.head_sent;
-  return !has_begun || has_alternative(in, it, now);
+  if (!has_begun) return true;
+  auto& slots = spare[it.origin];
+  if (slots == 0) return false;
+  --slots;
+  return true;
 }
 
 }  // namespace
@@ -112,6 +125,23 @@
   }
 }
 
+namespace {
+
+/// Closes the requests at silent targets that may run elsewhere.
+void close_silent_attempts(front& in, instant now) {
+  auto spare = std::optional<spare_slots>();
+  for (auto& it : in.attempts) {
+    if (!it.target_silent || !it.repeatable) continue;
+    if (!it.link || !it.link->is_open()) continue;
+    if (!spare) spare = count_spare_slots(in, now);
+    if (!may_close(it, *spare)) continue;
+    it.closed_silent = true;
+    it.link->close();
+  }
+}
+
+}  // namespace
+
 void detect_silent_targets(front& in, instant now, bool paused) {
   auto last_received = absl::flat_hash_map<std::string, instant>();
   for (auto& it : in.attempts) {
@@ -129,11 +159,8 @@
         row != nullptr && trust_at(row->seen.doubt, now) != trust::none) {
       record_target_failure(in, it.target, target_fault::silent);
     }
-    if (!it.repeatable || !it.link || !it.link->is_open()) continue;
-    if (!may_close(in, it, now)) continue;
-    it.closed_silent = true;
-    it.link->close();
   }
+  close_silent_attempts(in, now);
 }
 
 }  // namespace fulmar::serving
--- a/test/silent-target-test.cc
+++ b/test/silent-target-test.cc
@@ -51,6 +51,45 @@
   CHECK(answer->body == whole_text());
 }
 
+TEST_CASE("a stream whose other target is full waits for its silent target") {
+  auto& it = make_fixture();
+  auto runs_long = std::make_shared<int>(0);
+  auto script = [runs_long](const std::string& head) {
+    if (head.starts_with("POST /once/")) {
+      ++*runs_long;
+      return scripted_answer{.bytes = stream_head(id_of(head)),
+                             .endless = chunk(": busy\n\n"),
+                             .endless_interval = 100ms};
+    }
+    return head.find("Last-Event-Id") == std::string::npos
+               ? pause_inside(head)
+               : refuse_to_run(head);
+  };
+  it.add_target(script);
+  it.add_target(script);
+  for (const auto* id : {"t1", "t2"}) {
+    auto& target = it.targets[id[1] - '1'];
+    it.store.put(
+        "servers", id,
+        concat(R"({"service":"s","zone":"dc","slots":1,)",
+               R"("state":"ready","addr":")", target.address(), R"("})"));
+  }
+  it.start();
+  auto busy = start_call(
+      it.loop,
+      {.address = it.client_address,
+       .request = {.method = "POST",
+                   .target = "/once/1",
+                   .headers = {{"Host", "h"}, {"Fulmarpitch-Attempt-Id", "b1"}},
+                   .body = "prompt"}},
+      {.on_end = [](const absl::Status&) {}});
+  it.until([&] { return *runs_long == 1; });
+  auto answer = it.post("/again/1", "a1");
+  REQUIRE(answer.ok());
+  CHECK(answer->body == whole_text());
+  busy->cancel();
+}
+
 TEST_CASE("a stream goes on elsewhere while its target is silent") {
   auto& it = make_fixture();
   auto script = [n = std::make_shared<int>(0)](const std::string& head) {
