Keep a stopping daemon until its clients' answers have been taken

Found in review: a planned stop waited for exchanges that have not ended.

Change: a connection with bytes that the system has not taken counts as an open exchange, up to the end of the grace as others do.

Test: "an answer that is not taken yet counts as open" failed before (0 open) and holds.

--- a/include/fulmarpitch/net/http.h
+++ b/include/fulmarpitch/net/http.h
@@ -172,7 +172,8 @@
   /// Closes the connections on which no request has begun, as the server stops.
   void close_idle();
 
-  /// \return exchanges that have not ended.
+  /// \return exchanges that have not ended, or whose answer the system has not
+  ///     taken whole.
   std::size_t open_exchanges() const;
 
   /// \return the bytes that clients have not taken yet.
--- a/src/net/http-server.cc
+++ b/src/net/http-server.cc
@@ -155,7 +155,7 @@
   void close(connection_end why);
   void close_if_stopping();
   void close_if_expired(instant now);
-  bool has_exchange() const { return current_ != nullptr; }
+  bool has_exchange() const { return current_ != nullptr || unsent_ > 0; }
   std::size_t unsent() const { return unsent_; }
 
  private:
--- a/test/http-test.cc
+++ b/test/http-test.cc
@@ -394,6 +394,19 @@
   CHECK(it.server->unsent_bytes() == 0);
 }
 
+TEST_CASE("an answer that is not taken yet counts as open") {
+  constexpr std::size_t answer = std::size_t{12} * 1024 * 1024;
+  auto it = fixture([&](const auto& exchange) {
+    exchange->respond({.body = std::string(answer, 'x')});
+  });
+  auto client = kept_client(it.loop, it.server->port());
+  client.send("/large");
+  it.loop.after(std::chrono::milliseconds(50), [&] { it.loop.stop(); });
+  it.loop.run();
+  REQUIRE(it.server->unsent_bytes() > 0);
+  CHECK(it.server->open_exchanges() == 1);
+}
+
 TEST_CASE("a request that its handler drops is answered") {
   auto it = fixture([](const auto& exchange) {
     if (exchange->request().target == "/begun") exchange->start_stream({});
