Run no request that was refused as late in the same turn

Found in review by reading: a head or a body may have been read, with its completion still to run, when the check for late reads finds no bytes waiting. The request was then refused with 408, which says that it has not run, and run.

Change: a request that was refused is not handed on, whatever its read brought.

Not reproduced; the tests of late reads of http-test hold.

--- a/src/net/http-server.cc
+++ b/src/net/http-server.cc
@@ -463,6 +463,8 @@
     }
     co_return false;
   }
+  // The head may have been read in the turn in which it was refused as late.
+  if (end_ == connection_end::refused) co_return false;
   auto request = read_head(head.get());
   auto keep_alive = head.get().keep_alive();
   auto streamed = server_->streams && server_->streams(request);
@@ -489,7 +491,7 @@
     } else if (ec && ec != http::error::end_of_stream && !refused) {
       refuse(error_code::bad_request, ec.message());
     }
-    if (ec) co_return false;
+    if (ec || refused) co_return false;
     request.body = std::move(text.get().body());
   }
   read_deadline_.reset();
