Send a request's last retry on a connection of its own

Callers got 502, or saw a begun stream cut, although a sound target was there to take the retry: it was sent on a kept connection that its target closed in the same moment, and no attempt was left.

Cause: both attempts took kept connections, and an attempt that meets a close counts as one that may have run. It is the fault of the idle connections of clients, seen from the other side; in begun streams it follows on a target that is silent.

Change: a retry that is the last one allowed opens a connection. First attempts use kept ones as before.

Test: "a retry does not meet the close of a kept connection" failed before (502 on both routes) and holds.

--- a/include/fulmarpitch/net/link-pool.h
+++ b/include/fulmarpitch/net/link-pool.h
@@ -32,6 +32,10 @@
   /// Gives an idle link that is still good, or a link yet to be connected.
   link_ptr take(const std::string& address);
 
+  /// Gives a link yet to be connected. An idle link may be closed by the other
+  /// side while a request is on its way.
+  link_ptr make_link(const std::string& address);
+
   /// \return whether an idle link to an address is kept.
   bool keeps_link(const std::string& address) const;
 
--- a/src/net/link-pool.cc
+++ b/src/net/link-pool.cc
@@ -19,6 +19,10 @@
     if (now < it.until && it.link->is_quiet()) return it.link;
     it.link->close();
   }
+  return make_link(address);
+}
+
+link_ptr link_pool::make_link(const std::string& address) {
   return std::make_shared<http_link>(io_, links_, address);
 }
 
--- a/src/serving/attempt.cc
+++ b/src/serving/attempt.cc
@@ -51,8 +51,12 @@
   return {.outcome = attempt_outcome::answered, .head = std::move(head)};
 }
 
-/// Takes a link to a target on which it has not refused the request before.
-link_ptr take_link(front& in, const target& to, const target_request& request) {
+/// Takes a link to a target on which it has not refused the request before, or
+/// a new one if the request has failed once and may not fail again.
+link_ptr take_link(front& in, const target& to, const target_request& request,
+                   const live_attempt& entry) {
+  if (entry.is_last && entry.is_retry)
+    return in.target_links.make_link(to.address);
   for (;;) {
     auto out = in.target_links.take(to.address);
     if (!out->has_refused(request.id)) return out;
@@ -130,7 +134,7 @@
 task<attempt_result> begin_attempt(front& in, const target& to,
                                    const target_request& request,
                                    live_attempt& entry) {
-  auto link = take_link(in, to, request);
+  auto link = take_link(in, to, request, entry);
   entry.link = link;
   auto now = event_loop::steady();
   auto deadline = request.deadline;
--- a/src/serving/front.h
+++ b/src/serving/front.h
@@ -59,6 +59,8 @@
   stream_origin origin;
   /// Online: the request has used up the attempts that its route allows.
   bool is_last = false;
+  /// Online: an earlier attempt may have run.
+  bool is_retry = false;
   /// Online: the client has received the head of the answer.
   bool head_sent = false;
   /// A target that sends nothing for this long counts as silent.
--- a/src/serving/online.cc
+++ b/src/serving/online.cc
@@ -445,6 +445,7 @@
                          .repeatable = it.matched_route->repeatable(),
                          .origin = origin_of(to),
                          .is_last = is_last_attempt(it),
+                         .is_retry = it.runs > 0,
                          .head_sent = it.head_sent,
                          .silence_timeout = std::max<instant>(
                              min_silence_timeout,
--- a/test/kept-connection-test.cc
+++ b/test/kept-connection-test.cc
@@ -72,6 +72,43 @@
   if (std::string(path) == "/once/1") CHECK(runs_of(it, "a2") == 1);
 }
 
+TEST_CASE("a retry does not meet the close of a kept connection") {
+  auto& it = make_fixture();
+  // Closes each connection at its second request.
+  for (auto n = 0; n < 2; ++n) {
+    auto* target = &it.add_target({});
+    target->answer =
+        [target, runs = std::map<int, int>()](const std::string& head) mutable {
+          if (++runs[target->connection] > 1)
+            return scripted_answer{.close = true};
+          auto out = whole(head);
+          // Both targets are busy until each has a connection.
+          if (id_of(head).starts_with("w")) out.delay = 100ms;
+          return out;
+        };
+  }
+  it.start();
+  auto open = 2;
+  for (const auto* id : {"w1", "w2"}) {
+    fetch(
+        it.loop,
+        {.address = it.client_address,
+         .request = {.method = "POST",
+                     .target = "/again/1",
+                     .headers = {{"Host", "h"}, {"Fulmarpitch-Attempt-Id", id}},
+                     .body = "prompt"}},
+        [&](const auto&) { --open; });
+  }
+  it.until([&] { return open == 0; });
+  REQUIRE(it.targets[0].heads.size() == 1);
+  REQUIRE(it.targets[1].heads.size() == 1);
+  const auto* path = GENERATE("/again/1", "/slow/1");
+  auto answer = it.post(path, "a1");
+  REQUIRE(answer.ok());
+  CHECK(answer->status == 200);
+  CHECK(runs_of(it, "a1") == 2);
+}
+
 TEST_CASE("a repeated refusal of an item does not end its next run") {
   // The item comes again with its id, maybe on the connection of the refusal.
   auto refusals = std::map<int, std::string>();
