--- a/include/fulmarpitch/serving/jobs.h
+++ b/include/fulmarpitch/serving/jobs.h
@@ -51,6 +51,8 @@
   std::string id;
   std::string host;
   std::string route;
+  /// Name of the team that submitted it; empty if the route needs none.
+  std::string team;
   std::uint32_t items = 0;
   /// Tokens of the items that are not listed yet.
   std::uint64_t waiting_tokens = 0;
--- a/include/fulmarpitch/serving/routes.h
+++ b/include/fulmarpitch/serving/routes.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "fulmarpitch/core/types.h"
+#include "fulmarpitch/teams/team.h"
 
 namespace fulmar::serving {
 
@@ -59,6 +60,10 @@
   std::uint32_t priority = 0;
   /// Whether an interrupted stream may be resumed on another target.
   bool resumable = false;
+  /// Requests need no key, and belong to no team.
+  bool is_public = false;
+  /// Requests share beginnings of prompts, which targets keep.
+  bool sticky = false;
   std::vector<service_share> shares;
   /// Batch: time from a job's acceptance until all its results are due.
   instant due{};
@@ -97,6 +102,7 @@
   std::vector<route> routes;
   std::vector<service> services;
   client_limits limits;
+  teams::team_directory teams;
 };
 
 /// Finds the route of a request: the one of its host whose path prefix is the
--- a/include/fulmarpitch/serving/settings.h
+++ b/include/fulmarpitch/serving/settings.h
@@ -51,6 +51,11 @@
   instant result_lifetime = std::chrono::seconds(120);
   /// Fraction by which queued tokens may exceed a route's limit.
   double quota_slack = 0.1;
+  /// Window in which the requests of a team are counted against its rate.
+  instant rate_window = std::chrono::seconds(5);
+  /// Requests by which a team may exceed its rate in a window, in addition to
+  /// the fraction `quota_slack`.
+  double rate_excess = 0;
 };
 
 }  // namespace fulmar::serving
--- a/src/serving/front.h
+++ b/src/serving/front.h
@@ -404,10 +404,11 @@
 /// Handles one client request.
 void handle_request(front& in, const std::shared_ptr<http_exchange>& client);
 /// Serves an online request.
+/// \param caller the team that sent it; null if the route needs none.
 task<void> serve_online(
     front& in, std::shared_ptr<http_exchange> client,
     std::shared_ptr<const served_configuration> configuration,
-    const route& route);
+    const route& route, const teams::team* caller);
 /// Accepts a batch job.
 task<void> submit_job(front& in, std::shared_ptr<http_exchange> client,
                       std::shared_ptr<const served_configuration> configuration,
--- a/src/serving/jobs.cc
+++ b/src/serving/jobs.cc
@@ -55,15 +55,17 @@
   auto listed = json::array();
   for (auto item : it.listed)
     listed.push_back(item);
-  return json::serialize(json::object{{"route", it.route},
-                                      {"items", it.items},
-                                      {"waiting_tokens", it.waiting_tokens},
-                                      {"accepted_us", it.accepted.count()},
-                                      {"owner", it.owner.name},
-                                      {"owner_dc", it.owner.data_centre},
-                                      {"listed", std::move(listed)},
-                                      {"ended", it.ended},
-                                      {"object", it.object}});
+  auto out = json::object{{"route", it.route},
+                          {"items", it.items},
+                          {"waiting_tokens", it.waiting_tokens},
+                          {"accepted_us", it.accepted.count()},
+                          {"owner", it.owner.name},
+                          {"owner_dc", it.owner.data_centre},
+                          {"listed", std::move(listed)},
+                          {"ended", it.ended},
+                          {"object", it.object}};
+  if (!it.team.empty()) out["team"] = it.team;
+  return json::serialize(out);
 }
 
 absl::StatusOr<job_row> decode_job(const stored_row& from) {
@@ -73,6 +75,7 @@
       .id = from.name.key,
       .host = from.name.part,
       .route = platform::text_field(*fields, "route"),
+      .team = platform::text_field(*fields, "team"),
       .items =
           static_cast<std::uint32_t>(platform::count_field(*fields, "items")),
       .waiting_tokens = platform::count_field(*fields, "waiting_tokens"),
--- a/src/serving/online.cc
+++ b/src/serving/online.cc
@@ -61,6 +61,8 @@
   std::shared_ptr<http_exchange> client;
   std::shared_ptr<const served_configuration> configuration;
   const route* matched_route = nullptr;
+  /// The team that sent it; null if the route needs none.
+  const teams::team* caller = nullptr;
   std::string service;
   std::string id;
   std::string host;
@@ -623,13 +625,14 @@
 task<void> serve_online(
     front& in, std::shared_ptr<http_exchange> client,
     std::shared_ptr<const served_configuration> configuration,
-    const route& matched_route) {
+    const route& matched_route, const teams::team* caller) {
   const auto& headers = client->request().headers;
   auto request = std::make_shared<online_request>();
   auto& it = *request;
   it.client = client;
   it.configuration = std::move(configuration);
   it.matched_route = &matched_route;
+  it.caller = caller;
   it.id = find_header(headers, platform::header::request_id);
   it.host = find_header(headers, "Host");
   it.fields = forwarded_header_lines(headers);
--- a/src/serving/requests.cc
+++ b/src/serving/requests.cc
@@ -78,7 +78,7 @@
   }
   auto work = path->kind == route_kind::batch
                   ? submit_job(in, client, configuration, *path)
-                  : serve_online(in, client, configuration, *path);
+                  : serve_online(in, client, configuration, *path, nullptr);
   asio::co_spawn(in.io, std::move(work), report_failure);
 }
 
