--- a/support/lint.sh
+++ b/support/lint.sh
@@ -12,6 +12,7 @@
 fi
 # The time of day may jump: fulmar-front uses it in log lines only.
 if grep -n 'event_loop::now()\|system_clock' src/serving/*.cc src/serving/*.h \
+  src/online/*.cc src/online/*.h \
   include/fulmarpitch/serving/*.h platform/*.cc platform/*.h \
   programs/fulmar-front.cc | grep -v '^src/serving/event-log.cc:'; then
   echo "the time of day is used outside the log" >&2
