Let a server see from where a connection comes

Calls between daemons are to be believed by the address of their sender. An exchange gives the remote address now, and a pool of links can connect from a given one, so that a VM with several addresses is known by the one in its settings. Links without a source behave as before.

--- a/include/fulmarpitch/net/http-link.h
+++ b/include/fulmarpitch/net/http-link.h
@@ -64,8 +64,9 @@
   /// \param io the loop.
   /// \param table where the link is listed while it lives.
   /// \param address IP address and port of the other side.
+  /// \param source IP address to connect from; empty to let the system choose.
   http_link(asio::io_context& io, std::shared_ptr<link_table> table,
-            std::string address);
+            std::string address, std::string source = {});
   ~http_link();
   http_link(const http_link&) = delete;
   http_link& operator=(const http_link&) = delete;
@@ -131,6 +132,8 @@
   using parser =
       boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
+  /// Binds the socket to the address to connect from.
+  boost::system::error_code bind_source();
   absl::Status failure(std::string_view what,
                        const boost::system::error_code& ec);
   void note_keep_alive(const answer_head& head);
@@ -149,6 +152,7 @@
   tcp::socket socket_;
   std::shared_ptr<link_table> table_;
   std::string address_;
+  std::string source_;
   boost::beast::flat_buffer input_{max_input_bytes};
   std::optional<parser> parser_;
   std::array<char, piece_bytes> piece_{};
--- a/include/fulmarpitch/net/http.h
+++ b/include/fulmarpitch/net/http.h
@@ -55,6 +55,10 @@
 
   virtual const http_request& request() const = 0;
 
+  /// \return the IP address that the connection comes from; empty after it
+  ///     ended.
+  virtual std::string remote_address() const = 0;
+
   /// Answers at once. Ends the exchange.
   virtual void respond(http_response response) = 0;
 
--- a/include/fulmarpitch/net/link-pool.h
+++ b/include/fulmarpitch/net/link-pool.h
@@ -22,6 +22,8 @@
   instant idle_margin = std::chrono::milliseconds(1000);
   /// Idle links kept for one address.
   std::size_t per_address = 24;
+  /// IP address to connect from; empty to let the system choose.
+  std::string source{};
 };
 
 /// Idle links.
--- a/src/net/http-link.cc
+++ b/src/net/http-link.cc
@@ -3,6 +3,7 @@
 #include <absl/strings/ascii.h>
 #include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
+#include <netinet/in.h>
 #include <netinet/tcp.h>
 
 #include <algorithm>
@@ -77,8 +78,11 @@
 }
 
 http_link::http_link(asio::io_context& io, std::shared_ptr<link_table> table,
-                     std::string address)
-    : socket_(io), table_(std::move(table)), address_(std::move(address)) {
+                     std::string address, std::string source)
+    : socket_(io),
+      table_(std::move(table)),
+      address_(std::move(address)),
+      source_(std::move(source)) {
   table_->links_.insert(this);
 }
 
@@ -96,12 +100,29 @@
                     sending_ ? outcome::unknown : outcome::not_run);
 }
 
+boost::system::error_code http_link::bind_source() {
+  auto ec = boost::system::error_code();
+  if (source_.empty()) return ec;
+  auto ip = asio::ip::make_address(source_, ec);
+  auto at = tcp::endpoint(ip, 0);
+  if (!ec) socket_.open(at.protocol(), ec);
+  // The port is chosen with the other side's address, so that it may be in use
+  // for another one.
+  int enabled = 1;
+  if (!ec)
+    ::setsockopt(socket_.native_handle(), IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT,
+                 &enabled, sizeof enabled);
+  if (!ec) socket_.bind(at, ec);
+  return ec;
+}
+
 task<absl::Status> http_link::connect() {
   auto endpoint = parse_endpoint(address_);
   if (!endpoint) {
     co_return make_error(error_code::bad_request,
                          concat("not an address: ", address_));
   }
+  if (auto fault = bind_source()) co_return failure("binding for", fault);
   auto [ec] = co_await socket_.async_connect(*endpoint, as_result);
   if (ec) co_return failure("connecting to", ec);
   auto ignored = boost::system::error_code();
--- a/src/net/http-server.cc
+++ b/src/net/http-server.cc
@@ -228,6 +228,12 @@
 
   const http_request& request() const override { return request_; }
 
+  std::string remote_address() const override {
+    auto ec = boost::system::error_code();
+    auto remote = owner_->stream_.socket().remote_endpoint(ec);
+    return ec ? std::string() : remote.address().to_string();
+  }
+
   void respond(http_response response) override {
     if (done_) return;
     owner_->enqueue(head_text(response, false, idle_time()) + response.body);
--- a/src/net/link-pool.cc
+++ b/src/net/link-pool.cc
@@ -8,7 +8,7 @@
 namespace fulmar {
 
 link_pool::link_pool(asio::io_context& io, link_pool_options options)
-    : io_(io), options_(options) {}
+    : io_(io), options_(std::move(options)) {}
 
 link_ptr link_pool::take(const std::string& address) {
   auto& idle = idle_[address];
@@ -23,7 +23,7 @@
 }
 
 link_ptr link_pool::make_link(const std::string& address) {
-  return std::make_shared<http_link>(io_, links_, address);
+  return std::make_shared<http_link>(io_, links_, address, options_.source);
 }
 
 bool link_pool::keeps_link(const std::string& address) const {
--- a/test/caller-api-test.cc
+++ b/test/caller-api-test.cc
@@ -14,6 +14,7 @@
  public:
   explicit kept_exchange(http_request request) : request_(std::move(request)) {}
 
+  std::string remote_address() const override { return "127.0.0.1"; }
   const http_request& request() const override { return request_; }
   void respond(http_response response) override { answer = response; }
   void start_stream(http_response head) override { answer = head; }
