--- a/include/fulmarpitch/fakes/platform-store.h
+++ b/include/fulmarpitch/fakes/platform-store.h
@@ -82,6 +82,9 @@
   std::string value(const std::string& table, const std::string& part,
                     const std::string& key) const;
 
+  /// \return the names and values of all rows and objects that daemons wrote.
+  std::string written() const;
+
   void set_fault(store_fault fault);
   /// Drops the history: waits for changes after an older version get 410.
   void drop_history();
--- a/include/fulmarpitch/serving/jobs.h
+++ b/include/fulmarpitch/serving/jobs.h
@@ -155,23 +155,29 @@
 /// Local copy of all jobs in the store, as far as this daemon has read them.
 struct job_book {
   absl::flat_hash_map<std::string, job_row> jobs;
-  /// A route's quota counter: the tokens accepted since it was created. Its
-  /// version serializes the acceptances of the route.
+  /// A quota counter: the tokens accepted since it was created. Its version
+  /// serializes the acceptances of its scope.
   struct quota_counter {
     std::uint64_t accepted_tokens = 0;
     std::uint64_t version = 0;
   };
-  /// Keyed by host and route.
+  /// By `quota_counter_key`.
   absl::flat_hash_map<std::string, quota_counter> quota_counters;
 };
 
-/// Key of a route's quota counter in the book.
-std::string quota_counter_key(const std::string& host,
-                              const std::string& route);
+/// The jobs whose waiting tokens a limit counts together.
+struct quota_scope {
+  std::string host;
+  std::string route;
+  /// Those of a team, or of callers without a team if empty; nothing for all.
+  std::optional<std::string> team{};
+};
+
+/// Key of a quota counter in the book.
+std::string quota_counter_key(const quota_scope& it);
 
-/// Names the row of a route's quota counter.
-row_name quota_counter_row_name(const std::string& host,
-                                const std::string& route);
+/// Names the row of a quota counter.
+row_name quota_counter_row_name(const quota_scope& it);
 
 std::string encode_quota_counter(std::uint64_t accepted_tokens);
 
@@ -182,21 +188,19 @@
 /// \return the job, or null when it is unknown.
 const job_row* find_job(const job_book& book, const std::string& id);
 
-/// Waiting tokens of all open jobs of a route.
-std::uint64_t waiting_tokens(const job_book& book, const std::string& host,
-                             const std::string& route);
+/// Waiting tokens of all open jobs of a scope.
+std::uint64_t waiting_tokens(const job_book& book, const quota_scope& scope);
 
 /// Outcome of the check of a submitted job.
 enum class submission_verdict { known, fits, over_limit };
 
-/// Checks a submitted job against the known jobs and the route's limit.
-/// \param limit maximum of the route's waiting tokens; 0 for no limit.
-/// \param accepted_tokens value of the route's quota counter; ahead of the book
+/// Checks a submitted job against the known jobs and the limit of its scope.
+/// \param limit maximum of the scope's waiting tokens; 0 for no limit.
+/// \param accepted_tokens value of the quota counter; ahead of the book
 ///     when other daemons have accepted jobs since.
 /// \param tokens the job's tokens.
 submission_verdict judge_submission(const job_book& book, const std::string& id,
-                                    const std::string& host,
-                                    const std::string& route,
+                                    const quota_scope& scope,
                                     std::uint64_t limit,
                                     std::uint64_t accepted_tokens,
                                     std::uint64_t tokens);
--- a/include/fulmarpitch/serving/load-board.h
+++ b/include/fulmarpitch/serving/load-board.h
@@ -50,6 +50,10 @@
   /// False in most summaries, which omit the members as these change rarely.
   bool names_members = true;
   std::vector<summary_member> members;
+  /// Version of the configuration that the sender has in force; 0 if it serves
+  /// none to other daemons. A summary that is passed on keeps that of its
+  /// gatherer.
+  std::uint64_t configuration = 0;
 };
 
 /// State that a daemon reports about itself.
@@ -76,6 +80,9 @@
   std::vector<std::string> known;
   /// The sender is discovering peers and requests a report in reply.
   bool wants_reply = false;
+  /// Version of the configuration that the sender has in force; 0 if it serves
+  /// none to other daemons.
+  std::uint64_t configuration = 0;
 };
 
 /// What a target answered when it was asked for its load.
--- a/include/fulmarpitch/serving/load_generated.h
+++ b/include/fulmarpitch/serving/load_generated.h
@@ -278,6 +278,7 @@
   std::vector<fulmar::serving::wire::target_load> loads{};
   std::vector<std::unique_ptr<fulmar::serving::wire::doubtT>> doubts{};
   std::vector<std::string> known{};
+  uint64_t configuration = 0;
   load_reportT() = default;
   load_reportT(const load_reportT &o);
   load_reportT(load_reportT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -299,7 +300,8 @@
     VT_WANTS_REPLY = 20,
     VT_LOADS = 22,
     VT_DOUBTS = 24,
-    VT_KNOWN = 26
+    VT_KNOWN = 26,
+    VT_CONFIGURATION = 28
   };
   const flatbuffers::String *name() const {
     return GetPointer<const flatbuffers::String *>(VT_NAME);
@@ -337,6 +339,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *known() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_KNOWN);
   }
+  uint64_t configuration() const {
+    return GetField<uint64_t>(VT_CONFIGURATION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NAME) &&
@@ -359,6 +364,7 @@
            VerifyOffset(verifier, VT_KNOWN) &&
            verifier.VerifyVector(known()) &&
            verifier.VerifyVectorOfStrings(known()) &&
+           VerifyField<uint64_t>(verifier, VT_CONFIGURATION, 8) &&
            verifier.EndTable();
   }
   load_reportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -406,6 +412,9 @@
   void add_known(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> known) {
     fbb_.AddOffset(load_report::VT_KNOWN, known);
   }
+  void add_configuration(uint64_t configuration) {
+    fbb_.AddElement<uint64_t>(load_report::VT_CONFIGURATION, configuration, 0);
+  }
   explicit load_reportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -430,8 +439,10 @@
     bool wants_reply = false,
     flatbuffers::Offset<flatbuffers::Vector<const fulmar::serving::wire::target_load *>> loads = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fulmar::serving::wire::doubt>>> doubts = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> known = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> known = 0,
+    uint64_t configuration = 0) {
   load_reportBuilder builder_(_fbb);
+  builder_.add_configuration(configuration);
   builder_.add_age_us(age_us);
   builder_.add_sequence(sequence);
   builder_.add_incarnation(incarnation);
@@ -460,7 +471,8 @@
     bool wants_reply = false,
     const std::vector<fulmar::serving::wire::target_load> *loads = nullptr,
     const std::vector<flatbuffers::Offset<fulmar::serving::wire::doubt>> *doubts = nullptr,
-    const std::vector<flatbuffers::Offset<flatbuffers::String>> *known = nullptr) {
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *known = nullptr,
+    uint64_t configuration = 0) {
   auto name__ = name ? _fbb.CreateString(name) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
@@ -480,7 +492,8 @@
       wants_reply,
       loads__,
       doubts__,
-      known__);
+      known__,
+      configuration);
 }
 
 flatbuffers::Offset<load_report> Createload_report(flatbuffers::FlatBufferBuilder &_fbb, const load_reportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -569,7 +582,8 @@
         store_lost(o.store_lost),
         wants_reply(o.wants_reply),
         loads(o.loads),
-        known(o.known) {
+        known(o.known),
+        configuration(o.configuration) {
   doubts.reserve(o.doubts.size());
   for (const auto &doubts_ : o.doubts) { doubts.emplace_back((doubts_) ? new fulmar::serving::wire::doubtT(*doubts_) : nullptr); }
 }
@@ -587,6 +601,7 @@
   std::swap(loads, o.loads);
   std::swap(doubts, o.doubts);
   std::swap(known, o.known);
+  std::swap(configuration, o.configuration);
   return *this;
 }
 
@@ -611,6 +626,7 @@
   { auto _e = loads(); if (_e) { _o->loads.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->loads[_i] = *_e->Get(_i); } } }
   { auto _e = doubts(); if (_e) { _o->doubts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->doubts[_i] = std::unique_ptr<fulmar::serving::wire::doubtT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = known(); if (_e) { _o->known.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->known[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = configuration(); _o->configuration = _e; }
 }
 
 inline flatbuffers::Offset<load_report> load_report::Pack(flatbuffers::FlatBufferBuilder &_fbb, const load_reportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -633,6 +649,7 @@
   auto _loads = _o->loads.size() ? _fbb.CreateVectorOfStructs(_o->loads) : 0;
   auto _doubts = _o->doubts.size() ? _fbb.CreateVector<flatbuffers::Offset<fulmar::serving::wire::doubt>> (_o->doubts.size(), [](size_t i, _VectorArgs *__va) { return Createdoubt(*__va->__fbb, __va->__o->doubts[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _known = _o->known.size() ? _fbb.CreateVectorOfStrings(_o->known) : 0;
+  auto _configuration = _o->configuration;
   return fulmar::serving::wire::Createload_report(
       _fbb,
       _name,
@@ -646,7 +663,8 @@
       _wants_reply,
       _loads,
       _doubts,
-      _known);
+      _known,
+      _configuration);
 }
 
 inline const fulmar::serving::wire::load_report *Getload_report(const void *buf) {
--- a/include/fulmarpitch/serving/routes.h
+++ b/include/fulmarpitch/serving/routes.h
@@ -117,6 +117,9 @@
 /// \return the route of this name, or null.
 const route* find_route(const served_configuration& in, std::string_view name);
 
+/// \return whether a host takes batch jobs without a key.
+bool has_public_jobs(const served_configuration& in, std::string_view host);
+
 /// Chooses a service of a route by weight.
 /// \param key any hash; the same key gives the same service.
 /// \return the service's name; empty when the weights sum to zero.
--- a/include/fulmarpitch/serving/summary_generated.h
+++ b/include/fulmarpitch/serving/summary_generated.h
@@ -33,6 +33,7 @@
   std::vector<fulmar::serving::wire::target_load> loads{};
   std::vector<std::unique_ptr<fulmar::serving::wire::memberT>> members{};
   bool names_members = true;
+  uint64_t configuration = 0;
   load_summaryT() = default;
   load_summaryT(const load_summaryT &o);
   load_summaryT(load_summaryT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -50,7 +51,8 @@
     VT_SEQUENCE = 12,
     VT_LOADS = 14,
     VT_MEMBERS = 16,
-    VT_NAMES_MEMBERS = 18
+    VT_NAMES_MEMBERS = 18,
+    VT_CONFIGURATION = 20
   };
   const flatbuffers::String *sender_data_centre() const {
     return GetPointer<const flatbuffers::String *>(VT_SENDER_DATA_CENTRE);
@@ -76,6 +78,9 @@
   bool names_members() const {
     return GetField<uint8_t>(VT_NAMES_MEMBERS, 1) != 0;
   }
+  uint64_t configuration() const {
+    return GetField<uint64_t>(VT_CONFIGURATION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER_DATA_CENTRE) &&
@@ -92,6 +97,7 @@
            verifier.VerifyVector(members()) &&
            verifier.VerifyVectorOfTables(members()) &&
            VerifyField<uint8_t>(verifier, VT_NAMES_MEMBERS, 1) &&
+           VerifyField<uint64_t>(verifier, VT_CONFIGURATION, 8) &&
            verifier.EndTable();
   }
   load_summaryT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -127,6 +133,9 @@
   void add_names_members(bool names_members) {
     fbb_.AddElement<uint8_t>(load_summary::VT_NAMES_MEMBERS, static_cast<uint8_t>(names_members), 1);
   }
+  void add_configuration(uint64_t configuration) {
+    fbb_.AddElement<uint64_t>(load_summary::VT_CONFIGURATION, configuration, 0);
+  }
   explicit load_summaryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -147,8 +156,10 @@
     uint64_t sequence = 0,
     flatbuffers::Offset<flatbuffers::Vector<const fulmar::serving::wire::target_load *>> loads = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fulmar::serving::wire::member>>> members = 0,
-    bool names_members = true) {
+    bool names_members = true,
+    uint64_t configuration = 0) {
   load_summaryBuilder builder_(_fbb);
+  builder_.add_configuration(configuration);
   builder_.add_sequence(sequence);
   builder_.add_gatherer(gatherer);
   builder_.add_members(members);
@@ -169,7 +180,8 @@
     uint64_t sequence = 0,
     const std::vector<fulmar::serving::wire::target_load> *loads = nullptr,
     const std::vector<flatbuffers::Offset<fulmar::serving::wire::member>> *members = nullptr,
-    bool names_members = true) {
+    bool names_members = true,
+    uint64_t configuration = 0) {
   auto sender_data_centre__ = sender_data_centre ? _fbb.CreateString(sender_data_centre) : 0;
   auto sender_address__ = sender_address ? _fbb.CreateString(sender_address) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
@@ -184,7 +196,8 @@
       sequence,
       loads__,
       members__,
-      names_members);
+      names_members,
+      configuration);
 }
 
 flatbuffers::Offset<load_summary> Createload_summary(flatbuffers::FlatBufferBuilder &_fbb, const load_summaryT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -196,7 +209,8 @@
         gatherer(o.gatherer),
         sequence(o.sequence),
         loads(o.loads),
-        names_members(o.names_members) {
+        names_members(o.names_members),
+        configuration(o.configuration) {
   members.reserve(o.members.size());
   for (const auto &members_ : o.members) { members.emplace_back((members_) ? new fulmar::serving::wire::memberT(*members_) : nullptr); }
 }
@@ -210,6 +224,7 @@
   std::swap(loads, o.loads);
   std::swap(members, o.members);
   std::swap(names_members, o.names_members);
+  std::swap(configuration, o.configuration);
   return *this;
 }
 
@@ -230,6 +245,7 @@
   { auto _e = loads(); if (_e) { _o->loads.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->loads[_i] = *_e->Get(_i); } } }
   { auto _e = members(); if (_e) { _o->members.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->members[_i] = std::unique_ptr<fulmar::serving::wire::memberT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = names_members(); _o->names_members = _e; }
+  { auto _e = configuration(); _o->configuration = _e; }
 }
 
 inline flatbuffers::Offset<load_summary> load_summary::Pack(flatbuffers::FlatBufferBuilder &_fbb, const load_summaryT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -248,6 +264,7 @@
   auto _loads = _o->loads.size() ? _fbb.CreateVectorOfStructs(_o->loads) : 0;
   auto _members = _o->members.size() ? _fbb.CreateVector<flatbuffers::Offset<fulmar::serving::wire::member>> (_o->members.size(), [](size_t i, _VectorArgs *__va) { return Createmember(*__va->__fbb, __va->__o->members[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _names_members = _o->names_members;
+  auto _configuration = _o->configuration;
   return fulmar::serving::wire::Createload_summary(
       _fbb,
       _sender_data_centre,
@@ -257,7 +274,8 @@
       _sequence,
       _loads,
       _members,
-      _names_members);
+      _names_members,
+      _configuration);
 }
 
 inline const fulmar::serving::wire::load_summary *Getload_summary(const void *buf) {
--- a/src/fakes/platform-store.cc
+++ b/src/fakes/platform-store.cc
@@ -455,6 +455,18 @@
   return it == state_->rows.end() ? std::string() : it->second.value;
 }
 
+std::string platform_store_fake::written() const {
+  auto out = std::string();
+  for (const auto& [name, it] : state_->rows) {
+    const auto& [table, part, key] = name;
+    if (table == "op" || table == "servers") continue;
+    out += concat(table, "/", part, "/", key, " ", it.value, "\n");
+  }
+  for (const auto& [name, bytes] : state_->objects)
+    out += concat(name, " ", bytes, "\n");
+  return out;
+}
+
 void platform_store_fake::set_fault(store_fault fault) {
   state_->fault = fault;
 }
--- a/src/serving/daemon.cc
+++ b/src/serving/daemon.cc
@@ -11,6 +11,8 @@
 #include "load-probe.h"
 #include "platform/names.h"
 #include "reports.h"
+#include "src/teams/caller-system.h"
+#include "src/teams/peer-system.h"
 #include "version-system.h"
 
 namespace fulmar::serving {
@@ -101,7 +103,7 @@
       count("crash_records", in.crashes.records.size()),
       count("answer_bytes_kept", in.target_links.links().kept_bytes()),
       count("answer_bytes_unsent", in.clients->unsent_bytes()),
-      count("log_lines_dropped", in.log.dropped()));
+      count("log_lines_dropped", in.log.dropped()), teams::metrics_text(in));
 }
 
 absl::Status start_servers(front& in) {
@@ -155,6 +157,7 @@
     in.probe_links.links().close_expired(now);
     in.store_links.links().close_expired(now);
     in.daemon_links.links().close_expired(now);
+    in.peer_links.links().close_expired(now);
     detect_silent_targets(in, now, paused);
     close_stalled_streams(in, now);
     preempt_for_waiting_requests(in, now);
@@ -169,8 +172,10 @@
     in.probe_links.close_idle(now);
     in.store_links.close_idle(now);
     in.daemon_links.close_idle(now);
+    in.peer_links.close_idle(now);
     drop_silent_members(in.board, now);
     log_abandoned(in, now);
+    teams::fetch_reported_configuration(in, now);
     remove_expired_targets(in);
     remove_outdated_jobs(in);
     note_ends_of_silent_targets(in, now);
@@ -181,6 +186,14 @@
   });
 }
 
+/// \return requests that are not answered yet, of clients and of daemons that
+///     passed them on.
+std::size_t open_exchanges(const front& in) {
+  auto passed_on =
+      in.peer_server != nullptr ? in.peer_server->open_exchanges() : 0;
+  return in.clients->open_exchanges() + passed_on;
+}
+
 /// Shuts down gracefully: first waits until the load balancer sends no new
 /// requests, then until the open ones have finished.
 task<void> shut_down_gracefully(front& in, std::function<void()> done) {
@@ -199,14 +212,13 @@
   in.clients->stop_accepting();
   in.clients->close_idle();
   while (event_loop::steady() < in.shutdown_end &&
-         (in.clients->open_exchanges() > 0 || !in.runs.empty())) {
+         (open_exchanges(in) > 0 || !in.runs.empty())) {
     in.clients->close_idle();
     release_jobs(in);
     co_await pause_for(tick_period);
   }
-  in.log.add("stopped",
-             {{"jobs", std::uint64_t{in.runs.size()}},
-              {"open", std::uint64_t{in.clients->open_exchanges()}}});
+  in.log.add("stopped", {{"jobs", std::uint64_t{in.runs.size()}},
+                         {"open", std::uint64_t{open_exchanges(in)}}});
   in.log.flush();
   done();
 }
--- a/src/serving/discovery.cc
+++ b/src/serving/discovery.cc
@@ -17,6 +17,7 @@
 #include "platform/json-fields.h"
 #include "platform/names.h"
 #include "reports.h"
+#include "src/teams/caller-system.h"
 #include "table-follower.h"
 #include "version-system.h"
 
@@ -64,28 +65,9 @@
                           .max_all_unsent_bytes = answer_budget(in.settings)});
 }
 
-void apply_configuration(front& in, const stored_row& row) {
+void apply_configuration_row(front& in, const stored_row& row) {
   if (row.name.key != platform::configuration_key || row.removed) return;
-  auto next = platform::decode_configuration(row.value);
-  if (!next.ok()) {
-    auto message = std::string(next.status().message());
-    in.log.add("configuration_refused", {{"why", message}});
-    return;
-  }
-  if (next->version <= in.configuration->version) return;
-  if (moves_resumable_routes(*in.configuration, *next))
-    in.versions.routes_moved = event_loop::steady();
-  auto before = in.configuration->version;
-  in.configuration =
-      std::make_shared<const served_configuration>(std::move(*next));
-  ensure(in.configuration->version > before, invariant::config_never_reverts,
-         "an older configuration came into force");
-  apply_limits(in);
-  in.log.add("configuration_in_force",
-             {{"version", in.configuration->version},
-              {"before", before},
-              {"idle_us",
-               std::int64_t{in.configuration->limits.idle_timeout.count()}}});
+  apply_configuration(in, row.value);
 }
 
 /// Removes a target that is no longer listed. Entries that expired in a store
@@ -260,6 +242,36 @@
 
 }  // namespace
 
+void apply_configuration(front& in, const std::string& text) {
+  auto next = platform::decode_configuration(text);
+  if (!next.ok()) {
+    auto message = std::string(next.status().message());
+    in.log.add("configuration_refused", {{"why", message}});
+    return;
+  }
+  if (next->version <= in.configuration->version) return;
+  if (moves_resumable_routes(*in.configuration, *next))
+    in.versions.routes_moved = event_loop::steady();
+  auto before = std::exchange(
+      in.configuration,
+      std::make_shared<const served_configuration>(std::move(*next)));
+  ensure(in.configuration->version > before->version,
+         invariant::config_never_reverts,
+         "an older configuration came into force");
+  apply_limits(in);
+  in.log.add("configuration_in_force",
+             {{"version", in.configuration->version},
+              {"before", before->version},
+              {"idle_us",
+               std::int64_t{in.configuration->limits.idle_timeout.count()}}});
+  teams::note_team_changes(in, *before);
+  in.configuration_text = in.peer_server != nullptr
+                              ? std::make_shared<const std::string>(text)
+                              : nullptr;
+  if (in.peer_server != nullptr) in.reports->changed();
+  in.configuration_checked.notify();
+}
+
 task<void> follow_configuration(front& in) {
   auto table = std::string(platform::table::operations);
   return follow(
@@ -270,7 +282,7 @@
            .apply =
                [&in](const std::vector<stored_row>& rows, bool /*whole*/) {
                  for (const auto& it : rows)
-                   apply_configuration(in, it);
+                   apply_configuration_row(in, it);
                },
            .state = &in.feeds.configuration});
 }
--- a/src/serving/front.cc
+++ b/src/serving/front.cc
@@ -44,6 +44,10 @@
     "Host", platform::header::time_left, platform::header::expected_target,
     platform::header::not_run, platform::header::last_event};
 
+/// Request headers that this daemon sets itself if there are teams.
+constexpr auto identity_header_names = std::array<std::string_view, 2>{
+    platform::header::team_key, platform::header::team};
+
 std::uint64_t new_incarnation() {
   auto source = std::random_device();
   return std::uniform_int_distribution<std::uint64_t>(1)(source);
@@ -76,11 +80,14 @@
       incarnation(new_incarnation()),
       self{.name = concat(settings.name, "#", incarnation),
            .data_centre = settings.data_centre},
+      configuration_checked(io),
       slot_time(initial_slot_time),
       target_links(io, {}),
       probe_links(io, {}),
       store_links(io, {.idle = std::chrono::seconds(30)}),
       daemon_links(io, {}),
+      // Other daemons know this one by its address.
+      peer_links(io, {.source = settings.address}),
       store(platform::connect_store(
           store_links,
           {.address = settings.store_address, .limits = settings.limits},
@@ -183,12 +190,23 @@
   return event_loop::steady() + *in.store_clock_offset;
 }
 
-std::string forwarded_header_lines(const std::vector<http_header>& headers) {
+bool is_identity_header(std::string_view name) {
+  return is_among(identity_header_names, name);
+}
+
+std::string team_header_line(std::string_view team) {
+  if (team.empty()) return {};
+  return concat(platform::header::team, ": ", team, "\r\n");
+}
+
+std::string forwarded_header_lines(const std::vector<http_header>& headers,
+                                   identity_headers identity) {
   auto connection = find_header(headers, "Connection");
   auto out = std::string();
   for (const auto& it : headers) {
     if (!is_end_to_end(it.name, connection) ||
-        is_among(replaced_headers, it.name))
+        is_among(replaced_headers, it.name) ||
+        (identity == identity_headers::dropped && is_identity_header(it.name)))
       continue;
     out += concat(it.name, ": ", it.value, "\r\n");
   }
@@ -271,6 +289,7 @@
   for (auto* it : {&in.feeds.configuration, &in.feeds.targets, &in.feeds.jobs,
                    &in.feeds.crashes})
     note_pause(*it);
+  teams::note_pause(in.lookups);
   in.log.add("stood_still", {{"us", std::int64_t{gap.count()}}});
   return true;
 }
--- a/src/serving/front.h
+++ b/src/serving/front.h
@@ -38,6 +38,10 @@
 #include "fulmarpitch/serving/store.h"
 #include "fulmarpitch/serving/targets.h"
 #include "fulmarpitch/serving/versions.h"
+#include "fulmarpitch/teams/caller.h"
+#include "fulmarpitch/teams/configuration-news.h"
+#include "fulmarpitch/teams/key-lookups.h"
+#include "fulmarpitch/teams/refusals.h"
 #include "platform/store-client.h"
 
 namespace fulmar::serving {
@@ -178,6 +182,16 @@
 
   std::shared_ptr<const served_configuration> configuration =
       std::make_shared<served_configuration>();
+  /// The text of the configuration, for other daemons; null without teams.
+  std::shared_ptr<const std::string> configuration_text;
+  /// Look-ups of newer configurations for unknown keys.
+  teams::key_lookups lookups;
+  /// A look-up ended, or a newer configuration came into force.
+  change_signal configuration_checked;
+  /// Daemons that have a newer configuration.
+  teams::configuration_news news;
+  /// Requests that were refused for their caller.
+  teams::refusal_counts refusals{};
   target_table targets;
   /// The target list was read at least once.
   bool targets_known = false;
@@ -223,6 +237,8 @@
   link_pool store_links;
   /// Connections to other daemons, for forwarded calls.
   link_pool daemon_links;
+  /// Connections to the ports of other daemons that clients do not reach.
+  link_pool peer_links;
   platform::store_call_counts store_counts;
   row_store store;
   /// The store's clock minus the steady clock; empty before its first answer.
@@ -250,6 +266,8 @@
   /// Requests that arrived behind the close of an idle connection.
   std::uint64_t requests_crossed = 0;
   std::unique_ptr<http_server> readiness_server;
+  /// Serves other daemons; null until there are teams.
+  std::unique_ptr<http_server> peer_server;
   std::unique_ptr<http_server> metrics_server;
   /// The daemon is shutting down.
   bool leaving = false;
@@ -329,9 +347,24 @@
 /// answer.
 std::optional<instant> store_time(const front& in);
 
+/// What becomes of the headers that name a client's team.
+enum class identity_headers {
+  /// There are no teams: they are headers like others.
+  forwarded,
+  dropped,
+};
+
+/// \return whether a header holds a key or names a team.
+bool is_identity_header(std::string_view name);
+
 /// Builds the header lines that are forwarded with a request.
 /// \param headers the client's headers.
-std::string forwarded_header_lines(const std::vector<http_header>& headers);
+std::string forwarded_header_lines(const std::vector<http_header>& headers,
+                                   identity_headers identity);
+
+/// Builds the header line that tells a target which team sent a request.
+/// \param team the team's name; empty for no line.
+std::string team_header_line(std::string_view team);
 
 /// \return the response headers that are forwarded to the client.
 std::vector<http_header> forwarded_headers(const answer_head& head);
@@ -400,9 +433,20 @@
 void apply_feed_page(front& in, feed_page page);
 /// Registers this daemon and discovers the others.
 task<void> discover_members(front& in);
+/// Brings a configuration into force if it is newer than the one in force.
+/// \param text the configuration as the operator wrote it.
+void apply_configuration(front& in, const std::string& text);
+
+/// From where a request came.
+enum class request_source {
+  client,
+  /// Another daemon passes it on and has found its caller.
+  daemon,
+};
 
-/// Handles one client request.
-void handle_request(front& in, const std::shared_ptr<http_exchange>& client);
+/// Handles one request.
+void handle_request(front& in, const std::shared_ptr<http_exchange>& client,
+                    request_source from = request_source::client);
 /// Serves an online request.
 /// \param caller the team that sent it; null if the route needs none.
 task<void> serve_online(
@@ -412,16 +456,18 @@
 /// Accepts a batch job.
 task<void> submit_job(front& in, std::shared_ptr<http_exchange> client,
                       std::shared_ptr<const served_configuration> configuration,
-                      const route& route);
+                      const route& route, teams::job_caller caller);
 /// Serves the results of a job.
 task<void> read_results(front& in, std::shared_ptr<http_exchange> client,
-                        std::string job, std::uint32_t position);
+                        std::string job, std::uint32_t position,
+                        teams::job_caller caller);
 /// Serves the body of a job's item.
 task<void> read_item(front& in, std::shared_ptr<http_exchange> client,
-                     std::string job, std::string item);
+                     std::string job, std::string item,
+                     teams::job_caller caller);
 /// Cancels a job.
 task<void> end_job(front& in, std::shared_ptr<http_exchange> client,
-                   std::string job);
+                   std::string job, teams::job_caller caller);
 
 /// Starts, stops and records items of the jobs that run here, and takes over
 /// jobs whose owner has failed.
--- a/src/serving/job-calls.cc
+++ b/src/serving/job-calls.cc
@@ -35,6 +35,17 @@
   co_return *row;
 }
 
+/// The same for a job that a caller may use. To others it does not exist.
+task<absl::StatusOr<job_row>> find_job_of(front& in, std::string host,
+                                          std::string id,
+                                          teams::job_caller caller) {
+  auto job = co_await find_or_read_job(in, std::move(host), id);
+  if (!job.ok() || teams::may_use_job(caller, job->team)) co_return job;
+  in.log.add("job_of_other_team",
+             {{"job", id}, {"team", job->team}, {"caller", caller.team}});
+  co_return make_error(error_code::not_found, "no such job of this team");
+}
+
 /// Waits until a job has a result at a position, the job ends or time runs out.
 /// \return the latest known state of the job.
 task<job_row> wait_for_result(front& in, job_row job, std::uint32_t position,
@@ -52,8 +63,9 @@
 /// forwards it to another daemon, or refuses it.
 task<void> forward_or_refuse_read(front& in,
                                   std::shared_ptr<http_exchange> client,
-                                  std::string job, absl::Status fault) {
-  auto answered = co_await try_forward(in, client);
+                                  std::string job, teams::job_caller caller,
+                                  absl::Status fault) {
+  auto answered = co_await try_forward(in, client, std::move(caller));
   if (answered) co_return;
   auto why = std::string(fault.message());
   in.log.add("read_refused", {{"job", job}, {"why", why}});
@@ -124,10 +136,11 @@
 }  // namespace
 
 task<void> read_results(front& in, std::shared_ptr<http_exchange> client,
-                        std::string id, std::uint32_t position) {
-  auto served = co_await forward_if_store_lost(in, client);
+                        std::string id, std::uint32_t position,
+                        teams::job_caller caller) {
+  auto served = co_await forward_if_store_lost(in, client, caller);
   if (served) co_return;
-  auto job = co_await find_or_read_job(in, host_of(*client), id);
+  auto job = co_await find_job_of(in, host_of(*client), id, caller);
   if (!job.ok() && code_of(job.status()) == error_code::not_found) {
     in.log.add("job_unknown",
                {{"job", id}, {"book_version", in.feeds.jobs.version}});
@@ -135,7 +148,7 @@
     co_return;
   }
   if (!job.ok()) {
-    co_await forward_or_refuse_read(in, client, id, job.status());
+    co_await forward_or_refuse_read(in, client, id, caller, job.status());
     co_return;
   }
   auto until = event_loop::steady() +
@@ -152,7 +165,7 @@
     results = co_await read_result_page(in, *job, position);
   }
   if (!results.ok()) {
-    co_await forward_or_refuse_read(in, client, id, results.status());
+    co_await forward_or_refuse_read(in, client, id, caller, results.status());
     co_return;
   }
   client->respond({.headers = {{"Content-Type", "application/json"}},
@@ -160,10 +173,11 @@
 }
 
 task<void> read_item(front& in, std::shared_ptr<http_exchange> client,
-                     std::string id, std::string item) {
-  auto served = co_await forward_if_store_lost(in, client);
+                     std::string id, std::string item,
+                     teams::job_caller caller) {
+  auto served = co_await forward_if_store_lost(in, client, caller);
   if (served) co_return;
-  auto job = co_await find_or_read_job(in, host_of(*client), id);
+  auto job = co_await find_job_of(in, host_of(*client), id, caller);
   auto items = absl::StatusOr<std::vector<submitted_item>>(
       std::vector<submitted_item>());
   if (job.ok()) {
@@ -172,7 +186,7 @@
     items = job.status();
   }
   if (!items.ok() && code_of(items.status()) != error_code::not_found) {
-    co_await forward_or_refuse_read(in, client, id, items.status());
+    co_await forward_or_refuse_read(in, client, id, caller, items.status());
     co_return;
   }
   if (items.ok()) {
@@ -189,13 +203,13 @@
 }
 
 task<void> end_job(front& in, std::shared_ptr<http_exchange> client,
-                   std::string id) {
-  auto served = co_await forward_if_store_lost(in, client);
+                   std::string id, teams::job_caller caller) {
+  auto served = co_await forward_if_store_lost(in, client, caller);
   if (served) co_return;
   auto host = host_of(*client);
   auto began = event_loop::steady();
   for (auto conflicts = 0; conflicts < max_end_conflicts; ++conflicts) {
-    auto job = co_await find_or_read_job(in, host, id);
+    auto job = co_await find_job_of(in, host, id, caller);
     if (!job.ok() && code_of(job.status()) == error_code::not_found) {
       refuse(*client, status_not_found, "there is no such job");
       co_return;
@@ -227,7 +241,7 @@
     client->respond({});
     co_return;
   }
-  auto answered = co_await try_forward(in, client);
+  auto answered = co_await try_forward(in, client, caller);
   if (answered) co_return;
   refuse(*client, status_outcome_unknown, "the store is away",
          store_retry_delay);
--- a/src/serving/job-submission.cc
+++ b/src/serving/job-submission.cc
@@ -20,6 +20,7 @@
 
 constexpr int status_accepted = 202;
 constexpr int status_bad_request = 400;
+constexpr int status_conflict = 409;
 constexpr int status_too_large = 413;
 constexpr int status_too_many = 429;
 
@@ -45,12 +46,21 @@
 constexpr auto local_acceptance_timeout = std::chrono::milliseconds(130);
 
 /// Outcome of a submission.
-enum class acceptance_outcome { yes, known, over_limit, not_run, unknown };
+enum class acceptance_outcome {
+  yes,
+  known,
+  /// Another team has a job of this id.
+  id_taken,
+  over_limit,
+  not_run,
+  unknown
+};
 
-inline constexpr std::array<named<acceptance_outcome>, 5>
+inline constexpr std::array<named<acceptance_outcome>, 6>
     acceptance_outcome_names{{
         {acceptance_outcome::yes, "accepted"},
         {acceptance_outcome::known, "known"},
+        {acceptance_outcome::id_taken, "id_taken"},
         {acceptance_outcome::over_limit, "over_limit"},
         {acceptance_outcome::not_run, "not_run"},
         {acceptance_outcome::unknown, "unknown"},
@@ -58,12 +68,28 @@
 
 struct submission {
   job_row job;
+  teams::job_caller caller;
   std::uint64_t tokens = 0;
   std::uint64_t limit = 0;
   /// Whether the transaction checks and updates the route's quota counter.
   bool ordered = true;
 };
 
+/// \return the jobs that share the limit on waiting tokens.
+quota_scope scope_of(const submission& it) {
+  auto out = quota_scope{.host = it.job.host, .route = it.job.route};
+  if (it.caller.is_checked) out.team = it.job.team;
+  return out;
+}
+
+/// \return the outcome for a job whose row exists already.
+acceptance_outcome outcome_of_known(const front& in, const std::string& job,
+                                    const teams::job_caller& caller) {
+  const auto* known = find_job(in.book, job);
+  auto allowed = known == nullptr || teams::may_use_job(caller, known->team);
+  return allowed ? acceptance_outcome::known : acceptance_outcome::id_taken;
+}
+
 /// Updates the job book and the quota counter from the rows that a rejected
 /// transaction returned.
 /// \return whether the job's own row exists.
@@ -87,14 +113,15 @@
 
 quota_request make_quota_request(const front& in, const submission& it) {
   auto now = event_loop::steady();
-  return {.quota_counter = quota_counter_key(it.job.host, it.job.route),
+  auto scope = scope_of(it);
+  return {.quota_counter = quota_counter_key(scope),
           .tokens = it.tokens,
-          .waiting = waiting_tokens(in.book, it.job.host, it.job.route),
+          .waiting = waiting_tokens(in.book, scope),
           .limit = it.limit,
           .daemons = 1 + live_members(in.board, "", now).size()};
 }
 
-/// Writes the job's rows. Near the route's limit, the quota counter's row
+/// Writes the job's rows. Near the limit, the quota counter's row
 /// serialises acceptances, so that two daemons cannot both use the remaining
 /// quota.
 task<acceptance_outcome> accept(front& in, submission& it,
@@ -111,11 +138,10 @@
   auto retries = 0;
   auto pieces = it.job.object.empty() ? body : std::string_view();
   for (auto conflicts = 0; conflicts < max_acceptance_conflicts;) {
-    auto verdict =
-        judge_submission(in.book, it.job.id, it.job.host, it.job.route,
-                         it.limit, quota_counter.accepted_tokens, it.tokens);
+    auto verdict = judge_submission(in.book, it.job.id, scope_of(it), it.limit,
+                                    quota_counter.accepted_tokens, it.tokens);
     if (verdict == submission_verdict::known)
-      co_return acceptance_outcome::known;
+      co_return outcome_of_known(in, it.job.id, it.caller);
     if (verdict == submission_verdict::over_limit && retries == 0)
       co_return acceptance_outcome::over_limit;
     auto order = it.ordered ? std::optional(quota_counter) : std::nullopt;
@@ -137,7 +163,7 @@
     // After a lost response, the row may come from an earlier attempt of this
     // submission: the job is accepted.
     if (apply_current_rows(in, *result, it.job.id, quota_counter))
-      co_return acceptance_outcome::known;
+      co_return outcome_of_known(in, it.job.id, it.caller);
     ++conflicts;
   }
   co_return retries == 0 ? acceptance_outcome::not_run
@@ -150,13 +176,14 @@
       "job_submitted",
       {{"job", it.job.id},
        {"route", it.job.route},
+       {"team", it.job.team},
        {"end", name_in(acceptance_outcome_names, how)},
        {"owner", it.job.owner.name},
        {"items", std::uint64_t{it.job.items}},
        {"tokens", it.tokens},
        {"limit", it.limit},
        {"ordered", it.ordered},
-       {"waiting", waiting_tokens(in.book, it.job.host, it.job.route)},
+       {"waiting", waiting_tokens(in.book, scope_of(it))},
        {"book_version", in.feeds.jobs.version},
        {"took_us", std::int64_t{(event_loop::steady() - began).count()}}});
 }
@@ -168,6 +195,12 @@
   std::shared_ptr<http_exchange> client;
   submission it;
   std::vector<submitted_item> items;
+  /// The body to store if it is not the client's.
+  std::optional<std::string> replaced_body;
+
+  const std::string& body() const {
+    return replaced_body ? *replaced_body : client->request().body;
+  }
   /// Empty until the outcome is decided.
   std::optional<acceptance_outcome> how;
   change_signal ended;
@@ -176,7 +209,8 @@
 /// Combines the outcome at this daemon with the response to the forwarded call.
 acceptance_outcome combine_outcomes(acceptance_outcome here,
                                     const forwarded_call& forwarded) {
-  if (here == acceptance_outcome::yes || here == acceptance_outcome::known)
+  if (here == acceptance_outcome::yes || here == acceptance_outcome::known ||
+      here == acceptance_outcome::id_taken)
     return here;
   if (forwarded.answer && forwarded.answer->status == status_accepted)
     return acceptance_outcome::known;
@@ -185,6 +219,8 @@
     return acceptance_outcome::unknown;
   if (forwarded.answer && forwarded.answer->status == status_too_many)
     return acceptance_outcome::over_limit;
+  if (forwarded.answer && forwarded.answer->status == status_conflict)
+    return acceptance_outcome::id_taken;
   return here;
 }
 
@@ -194,6 +230,9 @@
     case acceptance_outcome::known:
       client.respond({.status = status_accepted});
       return;
+    case acceptance_outcome::id_taken:
+      refuse(client, status_conflict, "the id is in use");
+      return;
     case acceptance_outcome::over_limit:
       refuse(client, status_too_many, "too many tokens wait on this route",
              queue_full_retry_after);
@@ -239,14 +278,16 @@
 }
 
 submission make_submission(const front& in, std::string host, std::string id,
-                           const route& path,
+                           const route& path, teams::job_caller caller,
                            std::span<const submitted_item> items) {
-  auto out = submission{.limit = path.max_waiting_tokens};
+  auto out =
+      submission{.caller = std::move(caller), .limit = path.max_waiting_tokens};
   for (const auto& it : items)
     out.tokens += it.tokens;
   out.job = {.id = std::move(id),
              .host = std::move(host),
              .route = path.name,
+             .team = out.caller.team,
              .items = static_cast<std::uint32_t>(items.size()),
              .waiting_tokens = out.tokens,
              .accepted = store_time(in).value_or(instant{}),
@@ -255,6 +296,18 @@
   return out;
 }
 
+/// Drops the headers of items that name a caller: a stored job holds no key.
+/// \return whether there were any.
+bool drop_identity_headers(std::vector<submitted_item>& items) {
+  auto dropped = std::size_t{0};
+  for (auto& item : items) {
+    dropped += std::erase_if(item.headers, [](const http_header& it) {
+      return is_identity_header(it.name);
+    });
+  }
+  return dropped > 0;
+}
+
 /// \return whether a body fits into the rows of one transaction.
 bool fits_rows(std::size_t body_bytes, const store_limits& limits) {
   auto pieces = limits.entries - acceptance_entries;
@@ -323,10 +376,9 @@
 /// Writes a job to the store and, if it was accepted, starts it.
 task<void> accept_locally(front& in, std::shared_ptr<local_submission> at) {
   auto began = event_loop::steady();
-  const auto& body = at->client->request().body;
   auto how = acceptance_outcome::not_run;
-  auto stored = co_await store_large_body(in, at->it.job, body);
-  if (stored) how = co_await accept(in, at->it, body);
+  auto stored = co_await store_large_body(in, at->it.job, at->body());
+  if (stored) how = co_await accept(in, at->it, at->body());
   log_submission(in, at->it, how, began);
   at->how = how;
   at->ended.notify();
@@ -350,7 +402,7 @@
   auto failed = !at->how || *at->how == acceptance_outcome::not_run ||
                 *at->how == acceptance_outcome::unknown;
   auto forwarded = forwarded_call();
-  if (failed) forwarded = co_await forward_call(in, at->client);
+  if (failed) forwarded = co_await forward_call(in, at->client, at->it.caller);
   if (forwarded.answer && forwarded.answer->status == status_accepted)
     co_return acceptance_outcome::known;
   while (!at->how)
@@ -363,7 +415,7 @@
 task<void> submit_job(
     front& in, std::shared_ptr<http_exchange> client,
     std::shared_ptr<const served_configuration> /*keeps the route*/,
-    const route& path) {
+    const route& path, teams::job_caller caller) {
   const auto& request = client->request();
   auto id =
       std::string(find_header(request.headers, platform::header::request_id));
@@ -372,7 +424,7 @@
     co_return;
   }
   if (find_job(in.book, id) != nullptr) {
-    answer_submission(*client, acceptance_outcome::known);
+    answer_submission(*client, outcome_of_known(in, id, caller));
     co_return;
   }
   auto items = platform::decode_submission(request.body);
@@ -382,10 +434,13 @@
   }
   auto at = std::make_shared<local_submission>(in.io);
   at->client = client;
-  at->it = make_submission(in, host_of(*client), id, path, *items);
+  if (caller.is_checked && drop_identity_headers(*items))
+    at->replaced_body = platform::encode_submission(*items);
+  at->it = make_submission(in, host_of(*client), id, path, std::move(caller),
+                           *items);
   at->items = std::move(*items);
-  auto storable = check_storable(at->it, at->items, request.body.size(),
-                                 in.settings.limits);
+  auto storable =
+      check_storable(at->it, at->items, at->body().size(), in.settings.limits);
   if (!storable.ok()) {
     refuse_malformed(in, *client, id, storable);
     co_return;
--- a/src/serving/job-system.cc
+++ b/src/serving/job-system.cc
@@ -63,6 +63,8 @@
   std::uint64_t serial = 0;
   std::uint32_t item = 0;
   std::string host;
+  /// Name of the job's team; empty if it has none.
+  std::string team;
   submitted_item request;
   std::uint64_t last_event = 0;
   /// Earlier failures of the item.
@@ -152,7 +154,11 @@
                                   .job = it.job,
                                   .repeatable = true,
                                   .withdrawal_count = it.withdrawal_count});
-  auto fields = forwarded_header_lines(it.request.headers);
+  auto identity = in.configuration->teams.requires_keys || !it.team.empty()
+                      ? identity_headers::dropped
+                      : identity_headers::forwarded;
+  auto fields = forwarded_header_lines(it.request.headers, identity);
+  fields += team_header_line(it.team);
   fields += concat(platform::header::request_id, ": ", it.request.id, "\r\n");
   auto outgoing = target_request{.method = "POST",
                                  .path = it.request.path,
@@ -320,6 +326,7 @@
                          .serial = run.serial,
                          .item = ref.item,
                          .host = run.row.host,
+                         .team = run.row.team,
                          .request = item.request,
                          .last_event = item.progress.last_event,
                          .failures = item.progress.failures,
--- a/src/serving/jobs.cc
+++ b/src/serving/jobs.cc
@@ -26,17 +26,25 @@
 
 constexpr std::string_view gate_prefix = "gate/";
 
+/// The key goes on with the route and the team, both percent-encoded, so that
+/// the mark between them stands in neither.
+constexpr std::string_view team_gate_prefix = "team-gate/";
+constexpr std::string_view team_mark = ":";
+
 absl::Status malformed(const row_name& name) {
   return make_error(error_code::bad_request,
                     concat("row ", name.table, "/", name.key, " is malformed"));
 }
 
+std::string counter_key(const row_name& it) {
+  return concat(it.part, " ", it.key);
+}
+
 bool apply_quota_counter(job_book& book, const stored_row& it) {
   auto key = std::string_view(it.name.key);
-  if (!key.starts_with(gate_prefix)) return false;
-  auto route = std::string(key.substr(gate_prefix.size()));
-  auto& quota_counter =
-      book.quota_counters[quota_counter_key(it.name.part, route)];
+  if (!key.starts_with(gate_prefix) && !key.starts_with(team_gate_prefix))
+    return false;
+  auto& quota_counter = book.quota_counters[counter_key(it.name)];
   if (it.version <= quota_counter.version) return true;
   auto tokens = std::uint64_t{0};
   if (!absl::SimpleAtoi(it.value, &tokens)) return true;
@@ -46,9 +54,8 @@
 
 }  // namespace
 
-std::string quota_counter_key(const std::string& host,
-                              const std::string& route) {
-  return concat(host, " ", route);
+std::string quota_counter_key(const quota_scope& it) {
+  return counter_key(quota_counter_row_name(it));
 }
 
 std::string encode_job(const job_row& it) {
@@ -214,11 +221,12 @@
   return out;
 }
 
-row_name quota_counter_row_name(const std::string& host,
-                                const std::string& route) {
-  return {.table = job_table::jobs,
-          .part = host,
-          .key = concat(gate_prefix, route)};
+row_name quota_counter_row_name(const quota_scope& it) {
+  auto key = concat(gate_prefix, it.route);
+  if (it.team && !it.team->empty())
+    key = concat(team_gate_prefix, percent_encode(it.route), team_mark,
+                 percent_encode(*it.team));
+  return {.table = job_table::jobs, .part = it.host, .key = std::move(key)};
 }
 
 std::string encode_quota_counter(std::uint64_t accepted_tokens) {
@@ -245,27 +253,27 @@
   return it == book.jobs.end() ? nullptr : &it->second;
 }
 
-std::uint64_t waiting_tokens(const job_book& book, const std::string& host,
-                             const std::string& route) {
+std::uint64_t waiting_tokens(const job_book& book, const quota_scope& scope) {
   auto out = std::uint64_t{0};
   for (const auto& [id, it] : book.jobs) {
-    if (it.open() && it.host == host && it.route == route)
-      out += it.waiting_tokens;
+    auto counts = it.open() && it.host == scope.host &&
+                  it.route == scope.route &&
+                  (!scope.team || it.team == *scope.team);
+    if (counts) out += it.waiting_tokens;
   }
   return out;
 }
 
 submission_verdict judge_submission(const job_book& book, const std::string& id,
-                                    const std::string& host,
-                                    const std::string& route,
+                                    const quota_scope& scope,
                                     std::uint64_t limit,
                                     std::uint64_t accepted_tokens,
                                     std::uint64_t tokens) {
   if (find_job(book, id) != nullptr) return submission_verdict::known;
   if (limit == 0) return submission_verdict::fits;
-  auto waiting = waiting_tokens(book, host, route);
+  auto waiting = waiting_tokens(book, scope);
   auto seen = std::uint64_t{0};
-  if (auto it = book.quota_counters.find(quota_counter_key(host, route));
+  if (auto it = book.quota_counters.find(quota_counter_key(scope));
       it != book.quota_counters.end())
     seen = it->second.accepted_tokens;
   // Includes jobs that other daemons accepted and the book does not have yet.
@@ -307,7 +315,8 @@
       .expected = {{.name = job_row_name(job)}},
       .writes = {{.name = job_row_name(job), .value = encode_job(job)}}};
   if (quota_counter) {
-    auto row = quota_counter_row_name(job.host, job.route);
+    auto row = quota_counter_row_name(
+        {.host = job.host, .route = job.route, .team = job.team});
     out.expected.push_back({.name = row, .version = quota_counter->version});
     out.writes.push_back({.name = row,
                           .value = encode_quota_counter(
--- a/src/serving/online.cc
+++ b/src/serving/online.cc
@@ -635,7 +635,11 @@
   it.caller = caller;
   it.id = find_header(headers, platform::header::request_id);
   it.host = find_header(headers, "Host");
-  it.fields = forwarded_header_lines(headers);
+  auto identity = it.configuration->teams.requires_keys
+                      ? identity_headers::dropped
+                      : identity_headers::forwarded;
+  it.fields = forwarded_header_lines(headers, identity);
+  if (caller != nullptr) it.fields += team_header_line(caller->name);
   set_times(in, it);
   if (may_outlast_daemon(in, it.deadline)) {
     refuse(*client, status_not_run, "shutting down", instant{});
--- a/src/serving/report-wire.cc
+++ b/src/serving/report-wire.cc
@@ -121,6 +121,7 @@
   out.wants_reply = it.wants_reply;
   out.loads = encode_loads(it.loads);
   encode_doubts(it, out);
+  out.configuration = it.configuration;
   auto builder = flatbuffers::FlatBufferBuilder();
   wire::Finishload_reportBuffer(builder,
                                 wire::load_report::Pack(builder, &out));
@@ -143,7 +144,8 @@
                          .store_lost = in->store_lost,
                          .loads = decode_loads(in->loads),
                          .known = std::move(in->known),
-                         .wants_reply = in->wants_reply};
+                         .wants_reply = in->wants_reply,
+                         .configuration = in->configuration};
   if (out.name.empty()) return std::nullopt;
   decode_doubts(*in, out);
   return out;
@@ -158,6 +160,7 @@
   out.sequence = it.summary.sequence;
   out.loads = encode_loads(it.summary.loads);
   encode_members(it.summary, out);
+  out.configuration = it.summary.configuration;
   auto builder = flatbuffers::FlatBufferBuilder();
   wire::Finishload_summaryBuffer(builder,
                                  wire::load_summary::Pack(builder, &out));
@@ -183,6 +186,7 @@
                                .sequence = in->sequence,
                                .loads = decode_loads(in->loads)}};
   decode_members(*in, out.summary);
+  out.summary.configuration = in->configuration;
   return out;
 }
 
--- a/src/serving/reports.cc
+++ b/src/serving/reports.cc
@@ -62,6 +62,17 @@
   if (!data_centre.empty()) it->second.data_centre = data_centre;
 }
 
+bool report_exchange::knows(const std::string& address) const {
+  if (peers_.contains(address)) return true;
+  // Members of other data centres that sent nothing here themselves.
+  const auto& summaries = front_.board.summaries;
+  return std::any_of(summaries.begin(), summaries.end(), [&](const auto& row) {
+    const auto& members = row.second.summary.members;
+    return std::any_of(members.begin(), members.end(),
+                       [&](const auto& it) { return it.address == address; });
+  });
+}
+
 bool report_exchange::is_near(const peer& it) const {
   return it.data_centre == front_.settings.data_centre;
 }
@@ -224,6 +235,7 @@
   for (const auto& it : report->known)
     add_address(it, "");
   record_contact(report->address, now);
+  note_configuration(report->address, report->configuration, now);
   if (report->wants_reply) reply_to_discovery(*report, now);
   if (!near) return;
   auto name = report->name;
@@ -242,11 +254,24 @@
   sender.heard = now;
 }
 
+void report_exchange::note_configuration(const std::string& address,
+                                         std::uint64_t version, instant now) {
+  if (version == 0) return;
+  teams::note_holder(front_.news, address, version,
+                     front_.configuration->version, now);
+}
+
+std::uint64_t report_exchange::own_configuration() const {
+  return front_.peer_server != nullptr ? front_.configuration->version : 0;
+}
+
 void report_exchange::forward_summary(sent_summary it) {
   auto now = event_loop::steady();
   add_address(it.sender_address, it.sender_data_centre);
   record_contact(it.sender_address, now);
   auto direct = it.sender_data_centre == it.summary.data_centre;
+  if (direct)
+    note_configuration(it.sender_address, it.summary.configuration, now);
   auto gathered_in = it.summary.data_centre;
   if (!take_summary(front_.board, std::move(it.summary), now)) return;
   preempt_batch_items(front_);
@@ -278,6 +303,7 @@
   out.summary.gatherer = front_.incarnation;
   out.summary.sequence = summary_turn_ + 1;
   out.summary.names_members = summary_turn_ % summaries_per_member_list == 0;
+  out.summary.configuration = own_configuration();
   return out;
 }
 
@@ -291,7 +317,8 @@
           .leaving = front_.leaving,
           .store_lost = store_lost(front_),
           .loads = front_.board.own,
-          .doubts = collect_target_health(front_.targets, now)};
+          .doubts = collect_target_health(front_.targets, now),
+          .configuration = own_configuration()};
 }
 
 }  // namespace fulmar::serving
--- a/src/serving/reports.h
+++ b/src/serving/reports.h
@@ -50,6 +50,10 @@
   /// \param data_centre its data centre; empty when unknown.
   void add_address(const std::string& address, const std::string& data_centre);
 
+  /// \return whether an IP address is that of a daemon, as told by the
+  ///     settings, the store or other daemons.
+  bool knows(const std::string& address) const;
+
   /// Sends table changes to the members of the own data centre.
   void send_feed(const feed_page& page);
 
@@ -78,6 +82,11 @@
   load_report own_report(instant now);
   sent_summary own_summary(instant now);
   void record_contact(const std::string& address, instant now);
+  /// Records the configuration that a daemon has in force.
+  void note_configuration(const std::string& address, std::uint64_t version,
+                          instant now);
+  /// \return the version to report; 0 if other daemons can't fetch it here.
+  std::uint64_t own_configuration() const;
   /// Stores a summary and forwards it within this data centre if it came
   /// directly from the data centre that it describes.
   void forward_summary(sent_summary it);
--- a/src/serving/routes.cc
+++ b/src/serving/routes.cc
@@ -21,6 +21,12 @@
   return it == in.routes.end() ? nullptr : &*it;
 }
 
+bool has_public_jobs(const served_configuration& in, std::string_view host) {
+  return std::any_of(in.routes.begin(), in.routes.end(), [&](const auto& it) {
+    return it.is_public && it.kind == route_kind::batch && it.host == host;
+  });
+}
+
 std::string_view pick_service(const route& from, std::uint64_t key) {
   auto total = std::uint64_t{0};
   for (const auto& it : from.shares)
--- a/test/quota-test.cc
+++ b/test/quota-test.cc
@@ -139,6 +139,7 @@
   CHECK(it.expected[0].name == job_row_name(job));
   CHECK(it.expected[0].version == 0);
   CHECK(it.writes.size() == 3);
+  auto scope = quota_scope{.host = "a.example", .route = "r"};
   for (const auto& row : it.writes)
-    CHECK_FALSE(row.name == quota_counter_row_name("a.example", "r"));
+    CHECK_FALSE(row.name == quota_counter_row_name(scope));
 }
--- a/test/report-wire-test.cc
+++ b/test/report-wire-test.cc
@@ -94,6 +94,22 @@
   CHECK(it->doubts.begin()->second.leaving);
 }
 
+TEST_CASE("a configuration takes bytes of a datagram only if it has teams") {
+  auto report = large_report();
+  auto summary = large_summary();
+  auto plain_report = encode_report(report).size();
+  auto plain_summary = encode_summary(summary).size();
+  CHECK(decode_report(encode_report(report))->configuration == 0);
+  report.configuration = 12'345;
+  summary.summary.configuration = 12'346;
+  CHECK(decode_report(encode_report(report))->configuration == 12'345);
+  CHECK(decode_summary(encode_summary(summary))->summary.configuration ==
+        12'346);
+  CHECK(encode_report(report).size() >= plain_report + sizeof(std::uint64_t));
+  CHECK(encode_summary(summary).size() >=
+        plain_summary + sizeof(std::uint64_t));
+}
+
 TEST_CASE("a summary comes back as it was sent") {
   auto sent = large_summary();
   auto it = decode_summary(encode_summary(sent));
--- a/test/serving-jobs-test.cc
+++ b/test/serving-jobs-test.cc
@@ -62,30 +62,94 @@
 TEST_CASE("tokens of accepted jobs that are not in the book yet count") {
   auto book = job_book();
   take_job_row(book, stored(sample()));
-  auto quota_counter = quota_counter_row_name("a.example", "r");
+  auto scope = quota_scope{.host = "a.example", .route = "r"};
+  auto quota_counter = quota_counter_row_name(scope);
   take_job_row(book, {.name = quota_counter,
                       .value = encode_quota_counter(300),
                       .version = 9});
   auto judge = [&](std::uint64_t accepted, std::uint64_t tokens) {
-    return judge_submission(book, "j2", "a.example", "r", 1000, accepted,
-                            tokens);
+    return judge_submission(book, "j2", scope, 1000, accepted, tokens);
   };
   CHECK(judge(300, 700) == submission_verdict::fits);
   CHECK(judge(300, 701) == submission_verdict::over_limit);
   CHECK(judge(500, 500) == submission_verdict::fits);
   CHECK(judge(500, 501) == submission_verdict::over_limit);
-  CHECK(judge_submission(book, "j1", "a.example", "r", 1, 300, 9) ==
+  CHECK(judge_submission(book, "j1", scope, 1, 300, 9) ==
         submission_verdict::known);
-  CHECK(judge_submission(book, "j2", "a.example", "r", 0, 300, 9999) ==
+  CHECK(judge_submission(book, "j2", scope, 0, 300, 9999) ==
         submission_verdict::fits);
 }
 
+TEST_CASE("a limit counts the jobs of one team") {
+  auto book = job_book();
+  auto add = [&](const char* id, const char* team, std::uint64_t tokens) {
+    auto job = sample();
+    job.id = id;
+    job.team = team;
+    job.waiting_tokens = tokens;
+    take_job_row(book, stored(job));
+  };
+  add("j1", "north", 300);
+  add("j2", "south", 50);
+  add("j3", "", 7);
+  auto scope = [](std::optional<std::string> team) {
+    return quota_scope{
+        .host = "a.example", .route = "r", .team = std::move(team)};
+  };
+  CHECK(waiting_tokens(book, scope("north")) == 300);
+  CHECK(waiting_tokens(book, scope("south")) == 50);
+  CHECK(waiting_tokens(book, scope("")) == 7);
+  CHECK(waiting_tokens(book, scope(std::nullopt)) == 357);
+  auto judge = [&](const char* team) {
+    return judge_submission(book, "j4", scope(team), 400, 0, 350);
+  };
+  CHECK(judge("north") == submission_verdict::over_limit);
+  CHECK(judge("south") == submission_verdict::fits);
+}
+
+TEST_CASE("the quota counters of teams are kept apart") {
+  auto row = [](const char* route, std::optional<std::string> team) {
+    return quota_counter_row_name(
+        {.host = "a.example", .route = route, .team = std::move(team)});
+  };
+  CHECK(row("r", std::nullopt).key == "gate/r");
+  CHECK(row("r", "") == row("r", std::nullopt));
+  CHECK_FALSE(row("r", "a:b") == row("r:a", "b"));
+  CHECK_FALSE(row("r", "north") == row("r/north", std::nullopt));
+
+  auto book = job_book();
+  auto scope = quota_scope{.host = "a.example", .route = "r", .team = "n/s"};
+  CHECK_FALSE(take_job_row(book, {.name = quota_counter_row_name(scope),
+                                  .value = encode_quota_counter(70),
+                                  .version = 9}));
+  CHECK(book.jobs.empty());
+  REQUIRE(book.quota_counters.contains(quota_counter_key(scope)));
+  CHECK(book.quota_counters[quota_counter_key(scope)].accepted_tokens == 70);
+  scope.team = "n";
+  CHECK_FALSE(book.quota_counters.contains(quota_counter_key(scope)));
+}
+
+TEST_CASE("an acceptance near the limit orders the jobs of its team") {
+  auto job = sample();
+  job.team = "north";
+  auto it = acceptance(job, job_book::quota_counter(), 300, "body", 10);
+  CHECK(it.writes[1].name ==
+        quota_counter_row_name(
+            {.host = job.host, .route = job.route, .team = "north"}));
+  CHECK(decode_job({.name = it.writes[0].name, .value = it.writes[0].value})
+            ->team == "north");
+}
+
+TEST_CASE("a row without a team is written as before") {
+  CHECK(encode_job(sample()).find("team") == std::string::npos);
+}
+
 TEST_CASE("ended jobs have no waiting tokens") {
   auto book = job_book();
   auto ended = sample();
   ended.ended = true;
   take_job_row(book, stored(ended));
-  CHECK(waiting_tokens(book, "a.example", "r") == 0);
+  CHECK(waiting_tokens(book, {.host = "a.example", .route = "r"}) == 0);
 }
 
 TEST_CASE("an acceptance requires a new job and an unchanged quota counter") {
