--- a/src/online/request.cc
+++ b/src/online/request.cc
@@ -79,6 +79,8 @@
       "request",
       {{"request_id", it.id},
        {"route", it.matched_route->name},
+       {"team", it.caller != nullptr ? std::string_view(it.caller->name)
+                                     : std::string_view()},
        {"end", end},
        {"target", it.to.id},
        {"software", it.to.version},
