Hold requests of teams to their rates, all daemons together

Cause: a team that sends several times its usual took the room of all others, and a configuration's rates bound nobody.

Each data centre holds an equal share of a team's rate; its members count together through their load reports. Members that are not heard keep their part unused.

Shares do not follow the demand yet: see docs/design/team-rates.md.

--- a/include/fulmarpitch/daemon/metrics.h
+++ b/include/fulmarpitch/daemon/metrics.h
@@ -57,6 +57,9 @@
   std::size_t max_series = 360;
 };
 
+/// Escapes a text as the value of a label.
+std::string escaped_label(std::string_view text);
+
 /// The metrics of one daemon. Not for several threads.
 class metrics {
  public:
--- a/include/fulmarpitch/serving/load-board.h
+++ b/include/fulmarpitch/serving/load-board.h
@@ -15,6 +15,7 @@
 
 #include "fulmarpitch/core/types.h"
 #include "fulmarpitch/serving/doubt.h"
+#include "fulmarpitch/teams/rate-ledger.h"
 
 namespace fulmar::serving {
 
@@ -83,6 +84,15 @@
   /// Version of the configuration that the sender has in force; 0 if it serves
   /// none to other daemons.
   std::uint64_t configuration = 0;
+  /// Requests of teams that changed, or of all teams that have a rate.
+  std::vector<teams::team_count> team_counts;
+  /// Incarnations of members that the sender does not hear; empty if no team
+  /// has a rate.
+  std::vector<std::uint64_t> unheard;
+  /// The sender knows all members, or heard of them from one that does.
+  bool informed = false;
+  /// Version of the row of teams' shares that the sender applies; 0 for none.
+  std::uint64_t shares_version = 0;
 };
 
 /// What a target answered when it was asked for its load.
--- a/include/fulmarpitch/serving/load_generated.h
+++ b/include/fulmarpitch/serving/load_generated.h
@@ -27,6 +27,8 @@
 struct doubtBuilder;
 struct doubtT;
 
+struct team_count;
+
 struct load_report;
 struct load_reportBuilder;
 struct load_reportT;
@@ -65,6 +67,41 @@
 };
 FLATBUFFERS_STRUCT_END(target_load, 16);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) team_count FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t team_;
+  uint32_t admitted_;
+  uint16_t asked_;
+  uint16_t part_;
+
+ public:
+  team_count()
+      : team_(0),
+        admitted_(0),
+        asked_(0),
+        part_(0) {
+  }
+  team_count(uint64_t _team, uint32_t _admitted, uint16_t _asked, uint16_t _part)
+      : team_(flatbuffers::EndianScalar(_team)),
+        admitted_(flatbuffers::EndianScalar(_admitted)),
+        asked_(flatbuffers::EndianScalar(_asked)),
+        part_(flatbuffers::EndianScalar(_part)) {
+  }
+  uint64_t team() const {
+    return flatbuffers::EndianScalar(team_);
+  }
+  uint32_t admitted() const {
+    return flatbuffers::EndianScalar(admitted_);
+  }
+  uint16_t asked() const {
+    return flatbuffers::EndianScalar(asked_);
+  }
+  uint16_t part() const {
+    return flatbuffers::EndianScalar(part_);
+  }
+};
+FLATBUFFERS_STRUCT_END(team_count, 16);
+
 struct memberT : public flatbuffers::NativeTable {
   typedef member TableType;
   std::string name{};
@@ -279,6 +316,10 @@
   std::vector<std::unique_ptr<fulmar::serving::wire::doubtT>> doubts{};
   std::vector<std::string> known{};
   uint64_t configuration = 0;
+  std::vector<fulmar::serving::wire::team_count> team_counts{};
+  std::vector<uint64_t> unheard{};
+  bool informed = false;
+  uint64_t shares_version = 0;
   load_reportT() = default;
   load_reportT(const load_reportT &o);
   load_reportT(load_reportT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -301,7 +342,11 @@
     VT_LOADS = 22,
     VT_DOUBTS = 24,
     VT_KNOWN = 26,
-    VT_CONFIGURATION = 28
+    VT_CONFIGURATION = 28,
+    VT_TEAM_COUNTS = 30,
+    VT_UNHEARD = 32,
+    VT_INFORMED = 34,
+    VT_SHARES_VERSION = 36
   };
   const flatbuffers::String *name() const {
     return GetPointer<const flatbuffers::String *>(VT_NAME);
@@ -342,6 +387,18 @@
   uint64_t configuration() const {
     return GetField<uint64_t>(VT_CONFIGURATION, 0);
   }
+  const flatbuffers::Vector<const fulmar::serving::wire::team_count *> *team_counts() const {
+    return GetPointer<const flatbuffers::Vector<const fulmar::serving::wire::team_count *> *>(VT_TEAM_COUNTS);
+  }
+  const flatbuffers::Vector<uint64_t> *unheard() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_UNHEARD);
+  }
+  bool informed() const {
+    return GetField<uint8_t>(VT_INFORMED, 0) != 0;
+  }
+  uint64_t shares_version() const {
+    return GetField<uint64_t>(VT_SHARES_VERSION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NAME) &&
@@ -365,6 +422,12 @@
            verifier.VerifyVector(known()) &&
            verifier.VerifyVectorOfStrings(known()) &&
            VerifyField<uint64_t>(verifier, VT_CONFIGURATION, 8) &&
+           VerifyOffset(verifier, VT_TEAM_COUNTS) &&
+           verifier.VerifyVector(team_counts()) &&
+           VerifyOffset(verifier, VT_UNHEARD) &&
+           verifier.VerifyVector(unheard()) &&
+           VerifyField<uint8_t>(verifier, VT_INFORMED, 1) &&
+           VerifyField<uint64_t>(verifier, VT_SHARES_VERSION, 8) &&
            verifier.EndTable();
   }
   load_reportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -415,6 +478,18 @@
   void add_configuration(uint64_t configuration) {
     fbb_.AddElement<uint64_t>(load_report::VT_CONFIGURATION, configuration, 0);
   }
+  void add_team_counts(flatbuffers::Offset<flatbuffers::Vector<const fulmar::serving::wire::team_count *>> team_counts) {
+    fbb_.AddOffset(load_report::VT_TEAM_COUNTS, team_counts);
+  }
+  void add_unheard(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> unheard) {
+    fbb_.AddOffset(load_report::VT_UNHEARD, unheard);
+  }
+  void add_informed(bool informed) {
+    fbb_.AddElement<uint8_t>(load_report::VT_INFORMED, static_cast<uint8_t>(informed), 0);
+  }
+  void add_shares_version(uint64_t shares_version) {
+    fbb_.AddElement<uint64_t>(load_report::VT_SHARES_VERSION, shares_version, 0);
+  }
   explicit load_reportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -440,18 +515,26 @@
     flatbuffers::Offset<flatbuffers::Vector<const fulmar::serving::wire::target_load *>> loads = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fulmar::serving::wire::doubt>>> doubts = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> known = 0,
-    uint64_t configuration = 0) {
+    uint64_t configuration = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const fulmar::serving::wire::team_count *>> team_counts = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> unheard = 0,
+    bool informed = false,
+    uint64_t shares_version = 0) {
   load_reportBuilder builder_(_fbb);
+  builder_.add_shares_version(shares_version);
   builder_.add_configuration(configuration);
   builder_.add_age_us(age_us);
   builder_.add_sequence(sequence);
   builder_.add_incarnation(incarnation);
+  builder_.add_unheard(unheard);
+  builder_.add_team_counts(team_counts);
   builder_.add_known(known);
   builder_.add_doubts(doubts);
   builder_.add_loads(loads);
   builder_.add_address(address);
   builder_.add_data_centre(data_centre);
   builder_.add_name(name);
+  builder_.add_informed(informed);
   builder_.add_wants_reply(wants_reply);
   builder_.add_store_lost(store_lost);
   builder_.add_leaving(leaving);
@@ -472,13 +555,19 @@
     const std::vector<fulmar::serving::wire::target_load> *loads = nullptr,
     const std::vector<flatbuffers::Offset<fulmar::serving::wire::doubt>> *doubts = nullptr,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *known = nullptr,
-    uint64_t configuration = 0) {
+    uint64_t configuration = 0,
+    const std::vector<fulmar::serving::wire::team_count> *team_counts = nullptr,
+    const std::vector<uint64_t> *unheard = nullptr,
+    bool informed = false,
+    uint64_t shares_version = 0) {
   auto name__ = name ? _fbb.CreateString(name) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto loads__ = loads ? _fbb.CreateVectorOfStructs<fulmar::serving::wire::target_load>(*loads) : 0;
   auto doubts__ = doubts ? _fbb.CreateVector<flatbuffers::Offset<fulmar::serving::wire::doubt>>(*doubts) : 0;
   auto known__ = known ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*known) : 0;
+  auto team_counts__ = team_counts ? _fbb.CreateVectorOfStructs<fulmar::serving::wire::team_count>(*team_counts) : 0;
+  auto unheard__ = unheard ? _fbb.CreateVector<uint64_t>(*unheard) : 0;
   return fulmar::serving::wire::Createload_report(
       _fbb,
       name__,
@@ -493,7 +582,11 @@
       loads__,
       doubts__,
       known__,
-      configuration);
+      configuration,
+      team_counts__,
+      unheard__,
+      informed,
+      shares_version);
 }
 
 flatbuffers::Offset<load_report> Createload_report(flatbuffers::FlatBufferBuilder &_fbb, const load_reportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -583,7 +676,11 @@
         wants_reply(o.wants_reply),
         loads(o.loads),
         known(o.known),
-        configuration(o.configuration) {
+        configuration(o.configuration),
+        team_counts(o.team_counts),
+        unheard(o.unheard),
+        informed(o.informed),
+        shares_version(o.shares_version) {
   doubts.reserve(o.doubts.size());
   for (const auto &doubts_ : o.doubts) { doubts.emplace_back((doubts_) ? new fulmar::serving::wire::doubtT(*doubts_) : nullptr); }
 }
@@ -602,6 +699,10 @@
   std::swap(doubts, o.doubts);
   std::swap(known, o.known);
   std::swap(configuration, o.configuration);
+  std::swap(team_counts, o.team_counts);
+  std::swap(unheard, o.unheard);
+  std::swap(informed, o.informed);
+  std::swap(shares_version, o.shares_version);
   return *this;
 }
 
@@ -627,6 +728,10 @@
   { auto _e = doubts(); if (_e) { _o->doubts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->doubts[_i] = std::unique_ptr<fulmar::serving::wire::doubtT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = known(); if (_e) { _o->known.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->known[_i] = _e->Get(_i)->str(); } } }
   { auto _e = configuration(); _o->configuration = _e; }
+  { auto _e = team_counts(); if (_e) { _o->team_counts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->team_counts[_i] = *_e->Get(_i); } } }
+  { auto _e = unheard(); if (_e) { _o->unheard.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->unheard[_i] = _e->Get(_i); } } }
+  { auto _e = informed(); _o->informed = _e; }
+  { auto _e = shares_version(); _o->shares_version = _e; }
 }
 
 inline flatbuffers::Offset<load_report> load_report::Pack(flatbuffers::FlatBufferBuilder &_fbb, const load_reportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -650,6 +755,10 @@
   auto _doubts = _o->doubts.size() ? _fbb.CreateVector<flatbuffers::Offset<fulmar::serving::wire::doubt>> (_o->doubts.size(), [](size_t i, _VectorArgs *__va) { return Createdoubt(*__va->__fbb, __va->__o->doubts[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _known = _o->known.size() ? _fbb.CreateVectorOfStrings(_o->known) : 0;
   auto _configuration = _o->configuration;
+  auto _team_counts = _o->team_counts.size() ? _fbb.CreateVectorOfStructs(_o->team_counts) : 0;
+  auto _unheard = _o->unheard.size() ? _fbb.CreateVector(_o->unheard) : 0;
+  auto _informed = _o->informed;
+  auto _shares_version = _o->shares_version;
   return fulmar::serving::wire::Createload_report(
       _fbb,
       _name,
@@ -664,7 +773,11 @@
       _loads,
       _doubts,
       _known,
-      _configuration);
+      _configuration,
+      _team_counts,
+      _unheard,
+      _informed,
+      _shares_version);
 }
 
 inline const fulmar::serving::wire::load_report *Getload_report(const void *buf) {
--- a/src/daemon/metrics.cc
+++ b/src/daemon/metrics.cc
@@ -73,19 +73,6 @@
   std::array<std::uint64_t, counter_names.size()> counters{};
 };
 
-std::string escaped(std::string_view text) {
-  auto out = std::string();
-  for (auto it : text) {
-    if (it == '\n') {
-      out += "\\n";
-      continue;
-    }
-    if (it == '"' || it == '\\') out += '\\';
-    out += it;
-  }
-  return out;
-}
-
 std::string number(double value) {
   std::array<char, 32> buf{};
   auto n = std::snprintf(buf.data(), buf.size(), "%.10g", value);
@@ -125,6 +112,19 @@
 
 }  // namespace
 
+std::string escaped_label(std::string_view text) {
+  auto out = std::string();
+  for (auto it : text) {
+    if (it == '\n') {
+      out += "\\n";
+      continue;
+    }
+    if (it == '"' || it == '\\') out += '\\';
+    out += it;
+  }
+  return out;
+}
+
 struct metrics::state {
   metrics_options options;
   std::vector<series_row> rows;
@@ -143,8 +143,8 @@
 
 metrics::series metrics::of(std::string_view class_name,
                             std::string_view caller) {
-  auto labels = concat("class=\"", escaped(class_name), "\",caller=\"",
-                       escaped(caller), "\"");
+  auto labels = concat("class=\"", escaped_label(class_name), "\",caller=\"",
+                       escaped_label(caller), "\"");
   auto& rows = state_->rows;
   auto it = state_->by_labels.find(labels);
   if (it != state_->by_labels.end()) return it->second;
--- a/src/serving/daemon.cc
+++ b/src/serving/daemon.cc
@@ -13,6 +13,7 @@
 #include "reports.h"
 #include "src/teams/caller-system.h"
 #include "src/teams/peer-system.h"
+#include "src/teams/rate-system.h"
 #include "version-system.h"
 
 namespace fulmar::serving {
@@ -92,7 +93,7 @@
   };
   return concat(
       in.metrics_registry.text(), connection_ends_text(in),
-      count("requests_crossed", in.requests_crossed),
+      teams::rate_metrics(in), count("requests_crossed", in.requests_crossed),
       count("store_calls", in.store_counts.calls),
       count("store_call_failures", in.store_counts.failures),
       count("configuration_version", in.configuration->version),
@@ -162,6 +163,7 @@
     close_stalled_streams(in, now);
     preempt_for_waiting_requests(in, now);
     run_jobs(in);
+    teams::observe_rates(in, now);
     write_crash_rows(in, now);
     write_begun_streams(in, now);
     in.log.flush();
--- a/src/serving/discovery.cc
+++ b/src/serving/discovery.cc
@@ -18,6 +18,7 @@
 #include "platform/names.h"
 #include "reports.h"
 #include "src/teams/caller-system.h"
+#include "src/teams/rate-system.h"
 #include "table-follower.h"
 #include "version-system.h"
 
@@ -238,6 +239,8 @@
   auto data_centre = platform::text_field(*fields, "data_centre");
   if (address.empty() || data_centre.empty()) return;
   in.reports->add_address(address, data_centre);
+  if (data_centre == in.settings.data_centre)
+    teams::expect_daemon(in, row.name.key);
 }
 
 }  // namespace
@@ -259,6 +262,7 @@
          invariant::config_never_reverts,
          "an older configuration came into force");
   apply_limits(in);
+  teams::apply_rates(in);
   in.log.add("configuration_in_force",
              {{"version", in.configuration->version},
               {"before", before->version},
@@ -345,6 +349,7 @@
     if (page.ok()) {
       for (const auto& it : page->rows)
         apply_member(in, it);
+      teams::note_daemons_listed(in);
     }
     co_await pause_for(announced && page.ok() ? instant(member_interval)
                                               : instant(retry_delay));
--- a/src/serving/front.cc
+++ b/src/serving/front.cc
@@ -13,6 +13,7 @@
 #include "fulmarpitch/core/text.h"
 #include "platform/names.h"
 #include "reports.h"
+#include "src/teams/rate-system.h"
 
 namespace fulmar::serving {
 namespace {
@@ -97,6 +98,7 @@
   target_links.links().limit_kept_bytes(answer_budget(settings));
   board.data_centre = settings.data_centre;
   board.began = began;
+  rates = teams::make_ledger(settings, incarnation, began);
 }
 
 front::~front() = default;
@@ -290,6 +292,7 @@
                    &in.feeds.crashes})
     note_pause(*it);
   teams::note_pause(in.lookups);
+  teams::note_pause(in.rates, gap, now);
   in.log.add("stood_still", {{"us", std::int64_t{gap.count()}}});
   return true;
 }
--- a/src/serving/front.h
+++ b/src/serving/front.h
@@ -41,6 +41,7 @@
 #include "fulmarpitch/teams/caller.h"
 #include "fulmarpitch/teams/configuration-news.h"
 #include "fulmarpitch/teams/key-lookups.h"
+#include "fulmarpitch/teams/rate-ledger.h"
 #include "fulmarpitch/teams/refusals.h"
 #include "platform/store-client.h"
 
@@ -208,6 +209,8 @@
   /// daemon that reads the store for it; empty if there was none.
   std::optional<instant> store_recovered_at;
   load_board board;
+  /// Requests of teams that have a rate.
+  teams::rate_ledger rates;
   std::list<live_attempt> attempts;
   /// Moving average of the time that an online request holds a slot.
   instant slot_time;
--- a/src/serving/report-wire.cc
+++ b/src/serving/report-wire.cc
@@ -1,6 +1,7 @@
 #include "fulmarpitch/serving/report-wire.h"
 
 #include <algorithm>
+#include <limits>
 #include <memory>
 #include <utility>
 
@@ -88,6 +89,34 @@
   }
 }
 
+/// The whole share of a data centre on the wire.
+constexpr double part_steps = std::numeric_limits<std::uint16_t>::max();
+
+std::vector<wire::team_count> encode_counts(
+    const std::vector<teams::team_count>& from) {
+  auto out = std::vector<wire::team_count>();
+  out.reserve(from.size());
+  for (const auto& it : from) {
+    auto part = std::clamp(it.part, 0.0, 1.0) * part_steps;
+    out.emplace_back(it.team, it.admitted, it.asked,
+                     static_cast<std::uint16_t>(part));
+  }
+  return out;
+}
+
+std::vector<teams::team_count> decode_counts(
+    const std::vector<wire::team_count>& from) {
+  auto out = std::vector<teams::team_count>();
+  out.reserve(from.size());
+  for (const auto& it : from) {
+    out.push_back({.team = it.team(),
+                   .admitted = it.admitted(),
+                   .asked = it.asked(),
+                   .part = it.part() / part_steps});
+  }
+  return out;
+}
+
 std::string bytes_of(const flatbuffers::FlatBufferBuilder& builder) {
   return {reinterpret_cast<const char*>(builder.GetBufferPointer()),
           builder.GetSize()};
@@ -120,6 +149,10 @@
   out.known = it.known;
   out.wants_reply = it.wants_reply;
   out.loads = encode_loads(it.loads);
+  out.team_counts = encode_counts(it.team_counts);
+  out.unheard = it.unheard;
+  out.informed = it.informed;
+  out.shares_version = it.shares_version;
   encode_doubts(it, out);
   out.configuration = it.configuration;
   auto builder = flatbuffers::FlatBufferBuilder();
@@ -145,7 +178,11 @@
                          .loads = decode_loads(in->loads),
                          .known = std::move(in->known),
                          .wants_reply = in->wants_reply,
-                         .configuration = in->configuration};
+                         .configuration = in->configuration,
+                         .team_counts = decode_counts(in->team_counts),
+                         .unheard = std::move(in->unheard),
+                         .informed = in->informed,
+                         .shares_version = in->shares_version};
   if (out.name.empty()) return std::nullopt;
   decode_doubts(*in, out);
   return out;
--- a/src/serving/reports.cc
+++ b/src/serving/reports.cc
@@ -9,6 +9,7 @@
 #include "fulmarpitch/core/errors.h"
 #include "fulmarpitch/core/text.h"
 #include "fulmarpitch/serving/report-wire.h"
+#include "src/teams/rate-system.h"
 
 namespace fulmar::serving {
 namespace {
@@ -92,7 +93,7 @@
 
 void report_exchange::send_to_all() {
   auto now = event_loop::steady();
-  auto bytes = encode_report(own_report(now));
+  auto bytes = encode_report(report_with_counts(now));
   for (auto& [address, it] : peers_) {
     if (is_near(it)) send(it, bytes);
   }
@@ -117,7 +118,7 @@
     co_await pause_for(options_.coalesce_delay);
     pending_ = false;
     auto now = event_loop::steady();
-    auto bytes = encode_report(own_report(now));
+    auto bytes = encode_report(report_with_counts(now));
     for (auto& [address, it] : peers_) {
       if (!is_heard_near(it, now)) continue;
       it.next_send = now + options_.idle_interval;
@@ -240,8 +241,16 @@
   if (!near) return;
   auto name = report->name;
   auto known = front_.board.members.contains(name);
-  if (!take_report(front_.board, std::move(*report), now)) return;
+  auto incarnation = report->incarnation;
+  auto counts = report->team_counts;
+  if (!take_report(front_.board, std::move(*report), now)) {
+    const auto& last = front_.board.members.at(name).report;
+    if (last.incarnation == incarnation)
+      teams::hear_late_counts(front_.rates, name, counts, now);
+    return;
+  }
   if (!known) front_.log.add("member_found", {{"member", name}});
+  teams::hear_report(front_, front_.board.members.at(name).report);
   preempt_batch_items(front_);
 }
 
@@ -307,6 +316,12 @@
   return out;
 }
 
+load_report report_exchange::report_with_counts(instant now) {
+  auto out = own_report(now);
+  out.team_counts = teams::take_counts(front_.rates, now);
+  return out;
+}
+
 load_report report_exchange::own_report(instant now) {
   return {.name = front_.settings.name,
           .data_centre = front_.settings.data_centre,
@@ -318,7 +333,9 @@
           .store_lost = store_lost(front_),
           .loads = front_.board.own,
           .doubts = collect_target_health(front_.targets, now),
-          .configuration = own_configuration()};
+          .configuration = own_configuration(),
+          .unheard = teams::unheard_members(front_.rates),
+          .informed = teams::has_rates(front_.rates) && front_.rates.informed};
 }
 
 }  // namespace fulmar::serving
--- a/src/serving/reports.h
+++ b/src/serving/reports.h
@@ -80,6 +80,8 @@
   void send_summaries(instant now);
   void send(const peer& to, const std::string& bytes);
   load_report own_report(instant now);
+  /// Builds a report for all members, which hear of teams' requests only so.
+  load_report report_with_counts(instant now);
   sent_summary own_summary(instant now);
   void record_contact(const std::string& address, instant now);
   /// Records the configuration that a daemon has in force.
--- a/test/report-wire-test.cc
+++ b/test/report-wire-test.cc
@@ -13,6 +13,7 @@
 /// Members and targets of a data centre, twice the largest in use.
 constexpr std::size_t vm_count = 100;
 constexpr std::uint64_t target_count = 60;
+constexpr std::uint64_t team_count = 360;
 
 load_table all_loads() {
   auto out = load_table();
@@ -65,6 +66,48 @@
   CHECK(encode_summary(large_summary()).size() < max_datagram_bytes);
 }
 
+TEST_CASE("a report that lists all teams fits a datagram") {
+  auto it = large_report();
+  for (auto n = std::uint64_t{0}; n < team_count; ++n)
+    it.team_counts.push_back({.team = n, .admitted = 1});
+  it.unheard.assign(vm_count, 1);
+  CHECK(encode_report(it).size() < max_datagram_bytes);
+}
+
+TEST_CASE("without teams a report has no byte for them") {
+  auto it = load_report{.name = "entry-1",
+                        .data_centre = "hall-b",
+                        .address = "10.1.2.3",
+                        .incarnation = 7,
+                        .sequence = 9,
+                        .age = 90s,
+                        .loads = {{77, {.online = 3, .batch = 1}}}};
+  CHECK(encode_report(it).size() == 144);
+  it.team_counts.push_back({.team = 5, .admitted = 1});
+  CHECK(encode_report(it).size() > 144);
+}
+
+TEST_CASE("counts of teams come back as they were sent") {
+  auto sent = large_report();
+  sent.team_counts = {
+      {.team = 1, .admitted = 4000000000, .asked = 65535, .part = 0.25},
+      {.team = 2, .admitted = 0, .asked = 3, .part = 1}};
+  sent.unheard = {77, 78};
+  sent.informed = true;
+  sent.shares_version = 12;
+  auto it = decode_report(encode_report(sent));
+  REQUIRE(it);
+  REQUIRE(it->team_counts.size() == 2);
+  CHECK(it->team_counts[0].team == 1);
+  CHECK(it->team_counts[0].admitted == 4000000000);
+  CHECK(it->team_counts[0].asked == 65535);
+  CHECK(it->team_counts[0].part == Approx(0.25).margin(0.0001));
+  CHECK(it->team_counts[1].part == 1);
+  CHECK(it->unheard == sent.unheard);
+  CHECK(it->informed);
+  CHECK(it->shares_version == 12);
+}
+
 TEST_CASE("summaries without members are small") {
   auto it = large_summary();
   it.summary.names_members = false;
