--- a/include/fulmarpitch/serving/load-board.h
+++ b/include/fulmarpitch/serving/load-board.h
@@ -91,8 +91,6 @@
   std::vector<std::uint64_t> unheard;
   /// The sender knows all members, or heard of them from one that does.
   bool informed = false;
-  /// Version of the row of teams' shares that the sender applies; 0 for none.
-  std::uint64_t shares_version = 0;
 };
 
 /// What a target answered when it was asked for its load.
--- a/include/fulmarpitch/serving/load_generated.h
+++ b/include/fulmarpitch/serving/load_generated.h
@@ -319,7 +319,6 @@
   std::vector<fulmar::serving::wire::team_count> team_counts{};
   std::vector<uint64_t> unheard{};
   bool informed = false;
-  uint64_t shares_version = 0;
   load_reportT() = default;
   load_reportT(const load_reportT &o);
   load_reportT(load_reportT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -345,8 +344,7 @@
     VT_CONFIGURATION = 28,
     VT_TEAM_COUNTS = 30,
     VT_UNHEARD = 32,
-    VT_INFORMED = 34,
-    VT_SHARES_VERSION = 36
+    VT_INFORMED = 34
   };
   const flatbuffers::String *name() const {
     return GetPointer<const flatbuffers::String *>(VT_NAME);
@@ -396,9 +394,6 @@
   bool informed() const {
     return GetField<uint8_t>(VT_INFORMED, 0) != 0;
   }
-  uint64_t shares_version() const {
-    return GetField<uint64_t>(VT_SHARES_VERSION, 0);
-  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NAME) &&
@@ -427,7 +422,6 @@
            VerifyOffset(verifier, VT_UNHEARD) &&
            verifier.VerifyVector(unheard()) &&
            VerifyField<uint8_t>(verifier, VT_INFORMED, 1) &&
-           VerifyField<uint64_t>(verifier, VT_SHARES_VERSION, 8) &&
            verifier.EndTable();
   }
   load_reportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -487,9 +481,6 @@
   void add_informed(bool informed) {
     fbb_.AddElement<uint8_t>(load_report::VT_INFORMED, static_cast<uint8_t>(informed), 0);
   }
-  void add_shares_version(uint64_t shares_version) {
-    fbb_.AddElement<uint64_t>(load_report::VT_SHARES_VERSION, shares_version, 0);
-  }
   explicit load_reportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -518,10 +509,8 @@
     uint64_t configuration = 0,
     flatbuffers::Offset<flatbuffers::Vector<const fulmar::serving::wire::team_count *>> team_counts = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> unheard = 0,
-    bool informed = false,
-    uint64_t shares_version = 0) {
+    bool informed = false) {
   load_reportBuilder builder_(_fbb);
-  builder_.add_shares_version(shares_version);
   builder_.add_configuration(configuration);
   builder_.add_age_us(age_us);
   builder_.add_sequence(sequence);
@@ -558,8 +547,7 @@
     uint64_t configuration = 0,
     const std::vector<fulmar::serving::wire::team_count> *team_counts = nullptr,
     const std::vector<uint64_t> *unheard = nullptr,
-    bool informed = false,
-    uint64_t shares_version = 0) {
+    bool informed = false) {
   auto name__ = name ? _fbb.CreateString(name) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
@@ -585,8 +573,7 @@
       configuration,
       team_counts__,
       unheard__,
-      informed,
-      shares_version);
+      informed);
 }
 
 flatbuffers::Offset<load_report> Createload_report(flatbuffers::FlatBufferBuilder &_fbb, const load_reportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -679,8 +666,7 @@
         configuration(o.configuration),
         team_counts(o.team_counts),
         unheard(o.unheard),
-        informed(o.informed),
-        shares_version(o.shares_version) {
+        informed(o.informed) {
   doubts.reserve(o.doubts.size());
   for (const auto &doubts_ : o.doubts) { doubts.emplace_back((doubts_) ? new fulmar::serving::wire::doubtT(*doubts_) : nullptr); }
 }
@@ -702,7 +688,6 @@
   std::swap(team_counts, o.team_counts);
   std::swap(unheard, o.unheard);
   std::swap(informed, o.informed);
-  std::swap(shares_version, o.shares_version);
   return *this;
 }
 
@@ -731,7 +716,6 @@
   { auto _e = team_counts(); if (_e) { _o->team_counts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->team_counts[_i] = *_e->Get(_i); } } }
   { auto _e = unheard(); if (_e) { _o->unheard.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->unheard[_i] = _e->Get(_i); } } }
   { auto _e = informed(); _o->informed = _e; }
-  { auto _e = shares_version(); _o->shares_version = _e; }
 }
 
 inline flatbuffers::Offset<load_report> load_report::Pack(flatbuffers::FlatBufferBuilder &_fbb, const load_reportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -758,7 +742,6 @@
   auto _team_counts = _o->team_counts.size() ? _fbb.CreateVectorOfStructs(_o->team_counts) : 0;
   auto _unheard = _o->unheard.size() ? _fbb.CreateVector(_o->unheard) : 0;
   auto _informed = _o->informed;
-  auto _shares_version = _o->shares_version;
   return fulmar::serving::wire::Createload_report(
       _fbb,
       _name,
@@ -776,8 +759,7 @@
       _configuration,
       _team_counts,
       _unheard,
-      _informed,
-      _shares_version);
+      _informed);
 }
 
 inline const fulmar::serving::wire::load_report *Getload_report(const void *buf) {
--- a/src/serving/report-wire.cc
+++ b/src/serving/report-wire.cc
@@ -152,7 +152,6 @@
   out.team_counts = encode_counts(it.team_counts);
   out.unheard = it.unheard;
   out.informed = it.informed;
-  out.shares_version = it.shares_version;
   encode_doubts(it, out);
   out.configuration = it.configuration;
   auto builder = flatbuffers::FlatBufferBuilder();
@@ -181,8 +180,7 @@
                          .configuration = in->configuration,
                          .team_counts = decode_counts(in->team_counts),
                          .unheard = std::move(in->unheard),
-                         .informed = in->informed,
-                         .shares_version = in->shares_version};
+                         .informed = in->informed};
   if (out.name.empty()) return std::nullopt;
   decode_doubts(*in, out);
   return out;
