--- /dev/null
+++ b/review/standins-2/cases.h
@@ -0,0 +1,23 @@
+#pragma once
+
+/// \file
+/// The cases. Each returns 1 if a rule was broken, 0 if it held, and 2 if the
+/// case could not run.
+
+#include "stage.h"
+
+namespace review {
+
+/// The only runner of one service is lost for good; jobs of another service.
+task<int> lost_service(stage& at, bool trouble);
+
+/// A configuration removes the route of an accepted job.
+task<int> removed_route(stage& at, bool trouble);
+
+/// The runners load newer weights, and one client still asks for the old ones.
+task<int> newer_weights(stage& at, bool trouble);
+
+/// Items whose prompts a sound runner reads for longer than a second.
+task<int> long_prompts(stage& at, bool trouble);
+
+}  // namespace review
--- /dev/null
+++ b/review/standins-2/main.cc
@@ -0,0 +1,30 @@
+// Plays one case of the review: review-2 CASE FOLDER. The environment variable
+// TROUBLE=0 leaves out the disruption.
+
+#include <boost/json.hpp>
+#include <cstdlib>
+#include <iostream>
+
+#include "cases.h"
+
+int main(int argc, char** argv) {
+  if (argc != 3) {
+    std::cerr << "usage: review-2 CASE FOLDER\n";
+    return 2;
+  }
+  const auto* text = std::getenv("TROUBLE");
+  auto trouble = text == nullptr || std::string(text) != "0";
+  auto name = std::string(argv[1]);
+  auto at = review::stage(argv[2]);
+  at.note(trouble ? "with the disruption" : "without the disruption");
+  auto code = 2;
+  if (name == "lost-service") code = at.run(review::lost_service(at, trouble));
+  if (name == "removed-route")
+    code = at.run(review::removed_route(at, trouble));
+  if (name == "newer-weights")
+    code = at.run(review::newer_weights(at, trouble));
+  if (name == "long-prompts") code = at.run(review::long_prompts(at, trouble));
+  at.note("exit code " + std::to_string(code));
+  std::cout << name << ": exit code " << code << std::endl;
+  return code;
+}
--- /dev/null
+++ b/review/standins-2/stage.h
@@ -0,0 +1,174 @@
+#pragma once
+
+/// \file
+/// The surroundings of real daemons in a review case: the store, runners,
+/// clients, and the record of what each of them saw.
+
+#include <deque>
+#include <fstream>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "fulmarpitch/fakes/platform-store.h"
+#include "fulmarpitch/net/coroutine.h"
+#include "fulmarpitch/net/http.h"
+#include "fulmarpitch/net/link-pool.h"
+#include "fulmarpitch/soak/child.h"
+
+namespace review {
+
+using fulmar::instant;
+using fulmar::task;
+
+/// Bounds of the small deployment, as its sheet states them.
+constexpr auto heartbeat = std::chrono::milliseconds(1200);
+constexpr auto finish_time = std::chrono::seconds(18);
+
+struct runner_options {
+  std::string id;
+  std::string service;
+  std::string zone = "erie-toledo";
+  std::uint32_t slots = 8;
+  std::uint32_t events = 50;
+  instant event_time = std::chrono::milliseconds(20);
+  /// Version of the weights.
+  int weights = 1;
+  /// Prompt tokens read in a millisecond; 0 for no time at all.
+  double prefill_per_ms = 0;
+};
+
+class stage;
+
+/// A part of a prompt.
+struct prompt_part {
+  std::string id;
+  double tokens = 0;
+};
+
+/// A sound runner: streams numbered events, resumes, refuses when full.
+class runner : public std::enable_shared_from_this<runner> {
+ public:
+  runner(stage& on, runner_options options);
+
+  void start();
+  /// Ends for good: connections close, and nothing listens any more.
+  void crash();
+
+  /// Loads a newer version of the weights.
+  void load(int weights);
+
+  const runner_options& options() const { return options_; }
+  std::string address() const;
+  std::uint32_t running() const { return running_; }
+  /// \return how long a request has run here; 0 if it doesn't.
+  instant has_for(const std::string& id) const;
+
+ private:
+  struct run {
+    std::shared_ptr<fulmar::http_exchange> client;
+    std::string id;
+    std::string target;
+    std::vector<prompt_part> parts;
+    instant began{};
+    bool reads = false;
+    bool gone = false;
+  };
+
+  void take(const std::shared_ptr<fulmar::http_exchange>& client);
+  /// \return how many tokens of a prompt are not kept here.
+  double unread_tokens(const std::vector<prompt_part>& parts) const;
+  /// Keeps what was read of a prompt until now.
+  void keep_read(const run& it);
+  void begin(const std::shared_ptr<run>& it, std::uint32_t event);
+  void step(const std::shared_ptr<run>& it, std::uint32_t event);
+  void end(run& it, std::string_view how);
+  void renew();
+  void put_entry();
+
+  stage& stage_;
+  runner_options options_;
+  std::unique_ptr<fulmar::http_server> server_;
+  std::list<std::weak_ptr<run>> runs_;
+  /// Tokens that are kept of each part.
+  std::map<std::string, double> kept_;
+  std::uint32_t running_ = 0;
+  std::uint32_t sequence_ = 0;
+  bool ended_ = false;
+};
+
+/// The data of a request's event, and its whole output.
+std::string event_data(const std::string& id, std::uint32_t event);
+std::string whole_output(const std::string& id, std::uint32_t events);
+
+struct call_result {
+  bool complete = false;
+  int status = 0;
+  std::string body;
+};
+
+struct outgoing {
+  std::string method = "GET";
+  std::string target;
+  std::string id;
+  std::string body;
+  std::string headers;
+};
+
+struct daemon {
+  std::string name;
+  std::string ip;
+  std::unique_ptr<fulmar::soak::child> process;
+};
+
+class stage {
+ public:
+  /// \param folder the case's folder, for the record.
+  explicit stage(std::string folder);
+  ~stage();
+
+  fulmar::event_loop& loop() { return loop_; }
+  fulmar::platform_store_fake& store() { return store_; }
+  std::deque<daemon>& daemons() { return daemons_; }
+
+  /// Writes a line of the record.
+  void note(const std::string& text);
+
+  void put_configuration(const std::string& text);
+  std::shared_ptr<runner> add_runner(runner_options options);
+  /// Starts daemons of one data centre with the deploy file's command.
+  void start_daemons(std::size_t count);
+  /// Waits until all are ready.
+  /// \return false when one is not after 15 s.
+  task<bool> wait_until_ready();
+
+  /// Calls the front address of a daemon on a new connection.
+  task<call_result> call(std::size_t daemon, outgoing request);
+
+  /// Runs a case to its end.
+  /// \return the exit code.
+  int run(task<int> work);
+
+  /// When the last item was finished at a runner.
+  instant last_finished{};
+  /// When a runner last had each request.
+  std::map<std::string, instant> last_had;
+  /// Requests that a runner finished.
+  std::set<std::string> finished;
+
+ private:
+  std::string folder_;
+  std::string temporary_;
+  std::ofstream record_;
+  fulmar::event_loop loop_;
+  fulmar::platform_store_fake store_;
+  std::deque<std::shared_ptr<runner>> runners_;
+  std::deque<daemon> daemons_;
+  instant began_;
+};
+
+}  // namespace review
