--- a/review/standins-2/cases.h
+++ b/review/standins-2/cases.h
@@ -20,4 +20,7 @@
 /// Items whose prompts a sound runner reads for longer than a second.
 task<int> long_prompts(stage& at, bool trouble);
 
+/// An item whose header's value holds another request.
+task<int> smuggled_request(stage& at, bool trouble);
+
 }  // namespace review
--- a/review/standins-2/main.cc
+++ b/review/standins-2/main.cc
@@ -24,6 +24,8 @@
   if (name == "newer-weights")
     code = at.run(review::newer_weights(at, trouble));
   if (name == "long-prompts") code = at.run(review::long_prompts(at, trouble));
+  if (name == "smuggled-request")
+    code = at.run(review::smuggled_request(at, trouble));
   at.note("exit code " + std::to_string(code));
   std::cout << name << ": exit code " << code << std::endl;
   return code;
--- a/review/standins-2/stage.h
+++ b/review/standins-2/stage.h
@@ -157,6 +157,8 @@
   instant last_finished{};
   /// When a runner last had each request.
   std::map<std::string, instant> last_had;
+  /// Ids of the requests that a runner began to run.
+  std::set<std::string> ran;
   /// Requests that a runner finished.
   std::set<std::string> finished;
 
