--- a/review/standins-2/cases.cc
+++ b/review/standins-2/cases.cc
@@ -1,6 +1,7 @@
 #include "cases.h"
 
 #include <absl/strings/escaping.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <boost/json.hpp>
@@ -10,6 +11,7 @@
 namespace review {
 namespace {
 
+namespace asio = boost::asio;
 namespace json = boost::json;
 using namespace std::chrono_literals;
 using fulmar::concat;
@@ -172,6 +174,7 @@
   constexpr auto daemons = std::size_t{3};
   constexpr auto small_jobs = std::size_t{10};
   constexpr auto large_jobs = std::size_t{60};
+  at.start_daemons(daemons);
   at.put_configuration(configuration(
       7,
       {batch_route("r-a", "/a/", "svc-a"), batch_route("r-b", "/b/", "svc-b")},
@@ -181,7 +184,6 @@
   for (auto n = 1; n <= 6; ++n)
     others.push_back(
         at.add_runner({.id = concat("i-b", n), .service = "svc-b"}));
-  at.start_daemons(daemons);
   auto ready = co_await at.wait_until_ready();
   if (!ready) co_return 2;
   co_await pause_for(4s);
@@ -215,68 +217,8 @@
   co_return lost > 0 ? 1 : 0;
 }
 
-task<int> removed_route(stage& at, bool trouble) {
-  constexpr auto daemons = std::size_t{3};
-  constexpr auto max_wait = 60s;
-  auto kept = batch_route("r-b", "/b/", "svc-b");
-  at.put_configuration(
-      configuration(7, {batch_route("r-a", "/a/", "svc-b"), kept}, {"svc-b"}));
-  auto runners = std::vector<std::shared_ptr<runner>>();
-  for (auto n = 1; n <= 3; ++n)
-    runners.push_back(
-        at.add_runner({.id = concat("i-b", n), .service = "svc-b"}));
-  at.start_daemons(daemons);
-  auto ready = co_await at.wait_until_ready();
-  if (!ready) co_return 2;
-  co_await pause_for(4s);
-
-  auto jobs = std::vector<job>();
-  for (auto n = std::size_t{0}; n < daemons; ++n)
-    jobs.push_back(make_job(concat("a", n), "/a/", n, 20));
-  for (auto& it : jobs)
-    co_await submit(at, it);
-  auto accepted = event_loop::steady();
-  co_await pause_for(500ms);
-  if (trouble) at.put_configuration(configuration(9, {kept}, {"svc-b"}));
-  at.note("traffic ends");
-  co_await pause_for(finish_time);
-  at.note("finishS is over");
-  auto lost = std::size_t{0};
-  for (auto& it : jobs) {
-    if (!it.accepted) co_return 2;
-    auto read = co_await read_results(at, it);
-    if (!read) co_return 2;
-    lost += judge(at, it, runners).lost;
-  }
-  at.note(concat("LOST: ", lost, " items"));
-  if (lost == 0) co_return 0;
-  co_await pause_for(accepted + max_wait + 5s - event_loop::steady());
-  at.note("maxWaitS is over, too");
-  for (auto& it : jobs) {
-    auto read = co_await read_results(at, it);
-    if (read) judge(at, it, runners);
-  }
-  co_return 1;
-}
-
 namespace {
 
-/// Calls an online route; \return the status.
-task<int> ask(stage& at, std::size_t daemon, std::string id,
-              std::string headers) {
-  auto request =
-      outgoing{.method = "POST",
-               .target = concat("/q/", id),
-               .id = id,
-               .body = concat("prompt of ", id),
-               .headers = concat("Fulmarpitch-Deadline-Ms: 5000\r\n",
-                                 "Fulmarpitch-Model: m\r\n", headers)};
-  auto answer = co_await at.call(daemon, std::move(request));
-  at.note(concat("client: request ", id, " at ", at.daemons()[daemon].name,
-                 ": ", answer.status));
-  co_return answer.complete ? answer.status : 0;
-}
-
 json::object stream_route(const std::string& name, const std::string& prefix,
                           const std::string& service) {
   return {{"name", name},     {"host", "h.example"}, {"pathPrefix", prefix},
@@ -287,62 +229,11 @@
 
 }  // namespace
 
-task<int> newer_weights(stage& at, bool trouble) {
-  constexpr auto daemons = std::size_t{3};
-  constexpr auto pinned_calls = 3;
-  at.put_configuration(configuration(
-      7,
-      {stream_route("r-q", "/q/", "svc-b"), batch_route("r-b", "/b/", "svc-b")},
-      {"svc-b"}));
-  auto runners = std::vector<std::shared_ptr<runner>>();
-  for (auto n = 1; n <= 6; ++n)
-    runners.push_back(at.add_runner(
-        {.id = concat("i-b", n), .service = "svc-b", .events = 25}));
-  at.start_daemons(daemons);
-  auto ready = co_await at.wait_until_ready();
-  if (!ready) co_return 2;
-  co_await pause_for(4s);
-
-  if (trouble) {
-    for (auto& it : runners)
-      it->load(2);
-  }
-  co_await pause_for(2s);
-  for (auto call = 0; call < pinned_calls; ++call) {
-    for (auto to = std::size_t{0}; to < daemons; ++to)
-      co_await ask(at, to, concat("pinned", call, "x", to),
-                   "Fulmarpitch-Expect-Version: 1\r\n");
-  }
-  co_await pause_for(1s);
-  auto served = 0;
-  for (auto to = std::size_t{0}; to < daemons; ++to) {
-    auto status = co_await ask(at, to, concat("sound", to), "");
-    if (status == 200) ++served;
-  }
-  auto jobs = std::vector<job>();
-  for (auto to = std::size_t{0}; to < daemons; ++to) {
-    jobs.push_back(make_job(concat("b", to), "/b/", to, 10));
-    co_await submit(at, jobs.back());
-  }
-  at.note("traffic ends");
-  co_await pause_for(finish_time);
-  at.note("finishS is over");
-  auto lost = std::size_t{0};
-  for (auto& it : jobs) {
-    if (!it.accepted) co_return 2;
-    auto read = co_await read_results(at, it);
-    if (!read) co_return 2;
-    lost += judge(at, it, runners).lost;
-  }
-  at.note(concat("sound online requests served: ", served, " of ", daemons));
-  at.note(concat("LOST: ", lost, " items"));
-  co_return lost > 0 ? 1 : 0;
-}
-
 task<int> long_prompts(stage& at, bool trouble) {
   constexpr auto daemons = std::size_t{3};
   constexpr auto prefill_per_ms = 66.2;
   constexpr auto long_prompt = std::uint32_t{140'000};
+  at.start_daemons(daemons);
   at.put_configuration(
       configuration(7, {batch_route("r-b", "/b/", "svc-b")}, {"svc-b"}));
   auto runners = std::vector<std::shared_ptr<runner>>();
@@ -350,7 +241,6 @@
     runners.push_back(at.add_runner({.id = concat("i-b", n),
                                      .service = "svc-b",
                                      .prefill_per_ms = prefill_per_ms}));
-  at.start_daemons(daemons);
   auto ready = co_await at.wait_until_ready();
   if (!ready) co_return 2;
   co_await pause_for(4s);
@@ -378,11 +268,11 @@
   constexpr auto hidden =
       "morning\r\nContent-Length: 0\r\n\r\nPOST /b/hidden HTTP/1.1\r\n"
       "Host: h.example\r\nFulmarpitch-Attempt-Id: nobody1\r\nX-Rest: x";
+  at.start_daemons(3);
   at.put_configuration(
       configuration(7, {batch_route("r-b", "/b/", "svc-b")}, {"svc-b"}));
   at.add_runner({.id = "i-b1", .service = "svc-b"});
   at.add_runner({.id = "i-b2", .service = "svc-b"});
-  at.start_daemons(3);
   auto ready = co_await at.wait_until_ready();
   if (!ready) co_return 2;
   co_await pause_for(4s);
@@ -398,4 +288,75 @@
   co_return unasked > 0 ? 1 : 0;
 }
 
+namespace {
+
+/// A stream that a client reads.
+struct client_stream {
+  std::string id;
+  std::size_t daemon = 0;
+  call_result answer;
+  bool ended = false;
+};
+
+task<void> read_stream(stage& at, client_stream& it) {
+  auto request = outgoing{.method = "POST",
+                          .target = concat("/q/", it.id),
+                          .id = it.id,
+                          .body = concat("prompt of ", it.id),
+                          .headers =
+                              "Fulmarpitch-Deadline-Ms: 5000\r\n"
+                              "Fulmarpitch-Model: m\r\n"};
+  it.answer = co_await at.call(it.daemon, std::move(request));
+  it.ended = true;
+}
+
+bool holds(const client_stream& it, std::string_view version) {
+  return it.answer.body.find(concat(" ", version, "\n")) != std::string::npos;
+}
+
+}  // namespace
+
+task<int> upgraded_in_place(stage& at, bool trouble) {
+  constexpr auto daemons = std::size_t{3};
+  constexpr auto streams = std::size_t{36};
+  at.start_daemons(daemons);
+  at.put_configuration(
+      configuration(7, {stream_route("r-q", "/q/", "svc-b")}, {"svc-b"}));
+  auto last = at.add_runner({.id = "i-b1", .service = "svc-b"});
+  for (auto n = 2; n <= 6; ++n)
+    at.add_runner(
+        {.id = concat("i-b", n), .service = "svc-b", .version = "v2"});
+  auto ready = co_await at.wait_until_ready();
+  if (!ready) co_return 2;
+  co_await pause_for(4s);
+
+  auto all = std::deque<client_stream>();
+  for (auto n = std::size_t{0}; n < streams; ++n) {
+    auto& it = all.emplace_back();
+    it.id = concat("s", n);
+    it.daemon = n % daemons;
+    asio::co_spawn(fulmar::io_of(at.loop()), read_stream(at, it),
+                   fulmar::report_failure);
+    co_await pause_for(10ms);
+  }
+  // Another moment in each run.
+  co_await pause_for(200ms + std::chrono::milliseconds(::getpid() % 300));
+  if (trouble) last->restart(1s, "v2");
+  co_await pause_for(6500ms);
+  auto joined = 0;
+  for (const auto& it : all) {
+    if (!it.ended) co_return 2;
+    auto mixed = holds(it, "v1") && holds(it, "v2");
+    if (mixed) ++joined;
+    at.note(concat("client: stream ", it.id, " at ",
+                   at.daemons()[it.daemon].name, ": ", it.answer.status, ", ",
+                   it.answer.complete ? "whole" : "broken off", ", ",
+                   holds(it, "v1") ? "v1 " : "", holds(it, "v2") ? "v2" : ""));
+    if (mixed) at.note(it.answer.body);
+  }
+  at.note(concat("ORDER: ", joined, " streams hold events of two versions"));
+  // More than two break the rule.
+  co_return joined > 2 ? 1 : 0;
+}
+
 }  // namespace review
--- a/review/standins-2/cases.h
+++ b/review/standins-2/cases.h
@@ -11,16 +11,13 @@
 /// The only runner of one service is lost for good; jobs of another service.
 task<int> lost_service(stage& at, bool trouble);
 
-/// A configuration removes the route of an accepted job.
-task<int> removed_route(stage& at, bool trouble);
-
-/// The runners load newer weights, and one client still asks for the old ones.
-task<int> newer_weights(stage& at, bool trouble);
-
 /// Items whose prompts a sound runner reads for longer than a second.
 task<int> long_prompts(stage& at, bool trouble);
 
 /// An item whose header's value holds another request.
 task<int> smuggled_request(stage& at, bool trouble);
 
+/// The last runner of an older version starts again with the newer one.
+task<int> upgraded_in_place(stage& at, bool trouble);
+
 }  // namespace review
--- a/review/standins-2/main.cc
+++ b/review/standins-2/main.cc
@@ -19,13 +19,11 @@
   at.note(trouble ? "with the disruption" : "without the disruption");
   auto code = 2;
   if (name == "lost-service") code = at.run(review::lost_service(at, trouble));
-  if (name == "removed-route")
-    code = at.run(review::removed_route(at, trouble));
-  if (name == "newer-weights")
-    code = at.run(review::newer_weights(at, trouble));
   if (name == "long-prompts") code = at.run(review::long_prompts(at, trouble));
   if (name == "smuggled-request")
     code = at.run(review::smuggled_request(at, trouble));
+  if (name == "upgraded-in-place")
+    code = at.run(review::upgraded_in_place(at, trouble));
   at.note("exit code " + std::to_string(code));
   std::cout << name << ": exit code " << code << std::endl;
   return code;
--- a/review/standins-2/stage.cc
+++ b/review/standins-2/stage.cc
@@ -97,15 +97,9 @@
 
 }  // namespace
 
-std::string event_data(const std::string& id, std::uint32_t event) {
-  return concat(id, ":", event);
-}
-
-std::string whole_output(const std::string& id, std::uint32_t events) {
-  auto out = std::string();
-  for (auto it = std::uint32_t{1}; it <= events; ++it)
-    out += concat(it > 1 ? "\n" : "", event_data(id, it));
-  return out;
+std::string event_data(const std::string& id, std::uint32_t event,
+                       const std::string& version) {
+  return concat(id, ":", event, " ", version);
 }
 
 runner::runner(stage& on, runner_options options)
@@ -116,18 +110,57 @@
 }
 
 void runner::start() {
+  listen(0);
+  put_entry();
+  // Runners renew their entries at different moments.
+  auto phase = std::hash<std::string>()(options_.id) %
+               static_cast<std::size_t>(heartbeat.count());
+  stage_.loop().after(std::chrono::milliseconds(phase),
+                      [weak = weak_from_this()] {
+                        if (auto it = weak.lock()) it->renew();
+                      });
+}
+
+void runner::listen(std::uint16_t port) {
   server_ = std::make_unique<fulmar::http_server>(
-      stage_.loop(), fulmar::http_server_options{},
+      stage_.loop(), fulmar::http_server_options{.port = port},
       [weak = weak_from_this()](const auto& client) {
         if (auto it = weak.lock()) it->take(client);
       });
   if (!server_->start().ok()) throw std::runtime_error("a runner can't listen");
-  renew();
+}
+
+void runner::stop(std::string_view how) {
+  server_->stop_accepting();
+  server_->close_idle();
+  for (auto& weak : runs_) {
+    auto it = weak.lock();
+    if (!it || it->gone) continue;
+    it->client->abort();
+    end(*it, how);
+  }
+}
+
+void runner::restart(instant down, std::string version) {
+  stage_.note(concat("runner ", options_.id, " crashes"));
+  auto port = server_->port();
+  down_ = true;
+  stop("is cut by the crash");
+  stage_.loop().after(down, [self = shared_from_this(), port,
+                             version = std::move(version)] {
+    self->down_ = false;
+    self->options_.version = version;
+    self->born_ += 10'000;
+    self->listen(port);
+    self->put_entry();
+    self->stage_.note(concat("runner ", self->options_.id,
+                             " is back under its id, with version ", version));
+  });
 }
 
 void runner::renew() {
   if (ended_) return;
-  put_entry();
+  if (!down_) put_entry();
   stage_.loop().after(heartbeat, [weak = weak_from_this()] {
     if (auto it = weak.lock()) it->renew();
   });
@@ -142,12 +175,6 @@
   return {};
 }
 
-void runner::load(int weights) {
-  options_.weights = weights;
-  stage_.note(concat("runner ", options_.id, " has weights ", weights));
-  put_entry();
-}
-
 void runner::put_entry() {
   auto model = json::object{{"name", "m"},
                             {"version", options_.weights},
@@ -157,27 +184,20 @@
       json::serialize(json::object{{"service", options_.service},
                                    {"addr", address()},
                                    {"zone", options_.zone},
-                                   {"version", "v1"},
+                                   {"version", options_.version},
                                    {"slots", options_.slots},
                                    {"state", "ready"},
                                    {"coldLeftMs", 0},
                                    {"stage", "both"},
                                    {"models", json::array{std::move(model)}},
-                                   {"born", 1'780'000'000'000},
+                                   {"born", born_},
                                    {"seq", ++sequence_}}));
 }
 
 void runner::crash() {
   stage_.note(concat("runner ", options_.id, " crashes, for good"));
   ended_ = true;
-  server_->stop_accepting();
-  server_->close_idle();
-  for (auto& weak : runs_) {
-    auto it = weak.lock();
-    if (!it || it->gone) continue;
-    it->client->abort();
-    end(*it, "is cut by the crash");
-  }
+  stop("is cut by the crash");
   // The platform removes the entry after three intervals of silence.
   stage_.loop().after(3 * heartbeat, [weak = weak_from_this()] {
     auto it = weak.lock();
@@ -202,7 +222,7 @@
   const auto& request = client->request();
   auto id = std::string(find_header(request.headers, "Fulmarpitch-Attempt-Id"));
   auto instance = fulmar::http_header{"Fulmarpitch-Instance-Id", options_.id};
-  if (ended_) return client->abort();
+  if (ended_ || down_) return client->abort();
   if (request.target == "/healthz")
     return client->respond({.headers = {instance}});
   if (request.target == "/v1/report") {
@@ -298,20 +318,21 @@
 }
 
 void runner::step(const std::shared_ptr<run>& it, std::uint32_t event) {
-  stage_.loop().after(
-      options_.event_time, [self = shared_from_this(), it, event] {
-        if (it->gone) return;
-        if (event > self->options_.events) {
-          self->end(*it, "is finished");
-          self->stage_.last_finished = event_loop::steady();
-          self->stage_.finished.insert(it->id);
-          it->client->finish();
-          return;
-        }
-        it->client->write(concat(
-            "id: ", event, "\ndata: ", event_data(it->id, event), "\n\n"));
-        self->step(it, event + 1);
-      });
+  stage_.loop().after(options_.event_time, [self = shared_from_this(), it,
+                                            event] {
+    if (it->gone) return;
+    if (event > self->options_.events) {
+      self->end(*it, "is finished");
+      self->stage_.last_finished = event_loop::steady();
+      self->stage_.finished.insert(it->id);
+      it->client->finish();
+      return;
+    }
+    it->client->write(concat(
+        "id: ", event,
+        "\ndata: ", event_data(it->id, event, self->options_.version), "\n\n"));
+    self->step(it, event + 1);
+  });
 }
 
 stage::stage(std::string folder)
--- a/review/standins-2/stage.h
+++ b/review/standins-2/stage.h
@@ -36,6 +36,8 @@
   std::uint32_t slots = 8;
   std::uint32_t events = 50;
   instant event_time = std::chrono::milliseconds(20);
+  /// Version of the software, which each event names.
+  std::string version = "v1";
   /// Version of the weights.
   int weights = 1;
   /// Prompt tokens read in a millisecond; 0 for no time at all.
@@ -59,9 +61,9 @@
   /// Ends for good: connections close, and nothing listens any more.
   void crash();
 
-  /// Loads a newer version of the weights.
-  void load(int weights);
-
+  /// Ends, and starts again under the same id, at the same address, with
+  /// another version of the software.
+  void restart(instant down, std::string version);
   const runner_options& options() const { return options_; }
   std::string address() const;
   std::uint32_t running() const { return running_; }
@@ -79,6 +81,9 @@
     bool gone = false;
   };
 
+  void listen(std::uint16_t port);
+  /// Ends all that runs, and listens no more.
+  void stop(std::string_view how);
   void take(const std::shared_ptr<fulmar::http_exchange>& client);
   /// \return how many tokens of a prompt are not kept here.
   double unread_tokens(const std::vector<prompt_part>& parts) const;
@@ -98,12 +103,14 @@
   std::map<std::string, double> kept_;
   std::uint32_t running_ = 0;
   std::uint32_t sequence_ = 0;
+  std::uint64_t born_ = 1'780'000'000'000;
+  bool down_ = false;
   bool ended_ = false;
 };
 
-/// The data of a request's event, and its whole output.
-std::string event_data(const std::string& id, std::uint32_t event);
-std::string whole_output(const std::string& id, std::uint32_t events);
+/// The data of a request's event.
+std::string event_data(const std::string& id, std::uint32_t event,
+                       const std::string& version);
 
 struct call_result {
   bool complete = false;
@@ -140,7 +147,8 @@
 
   void put_configuration(const std::string& text);
   std::shared_ptr<runner> add_runner(runner_options options);
-  /// Starts daemons of one data centre with the deploy file's command.
+  /// Starts daemons of one data centre with the deploy file's command. Before
+  /// any runner listens, or the daemons would inherit its socket.
   void start_daemons(std::size_t count);
   /// Waits until all are ready.
   /// \return false when one is not after 15 s.
