--- a/review/standins-2/cases.cc
+++ b/review/standins-2/cases.cc
@@ -282,7 +282,7 @@
   co_await pause_for(5s);
   auto sent = std::set<std::string>(it.items.begin(), it.items.end());
   auto unasked = 0;
-  for (const auto& id : at.ran)
+  for (const auto& [id, when] : at.ran)
     unasked += sent.contains(id) ? 0 : 1;
   at.note(concat("UNASKED: ", unasked, " requests that no client sent ran"));
   co_return unasked > 0 ? 1 : 0;
@@ -359,4 +359,61 @@
   co_return joined > 2 ? 1 : 0;
 }
 
+task<int> silent_store(stage& at, bool trouble) {
+  constexpr auto daemons = std::size_t{3};
+  constexpr auto burst_jobs = std::size_t{18};
+  constexpr auto items_per_job = std::size_t{10};
+  constexpr auto contact = 4s;
+  constexpr auto cancel = 3s;
+  at.start_daemons(daemons);
+  at.put_configuration(
+      configuration(7, {batch_route("r-b", "/b/", "svc-b")}, {"svc-b"}));
+  for (auto n = 1; n <= 4; ++n)
+    at.add_runner({.id = concat("i-b", n), .service = "svc-b", .events = 100});
+  auto ready = co_await at.wait_until_ready();
+  if (!ready) co_return 2;
+  co_await pause_for(4s);
+
+  // Many jobs come at once.
+  auto burst = std::deque<job>();
+  for (auto n = std::size_t{0}; n < burst_jobs; ++n) {
+    burst.push_back(make_job(concat("s", n), "/b/", 0, items_per_job));
+    asio::co_spawn(fulmar::io_of(at.loop()), submit(at, burst.back()),
+                   fulmar::report_failure);
+  }
+  co_await pause_for(17s);
+  auto large = make_job("j0", "/b/", 0, 200);
+  co_await submit(at, large);
+  if (!large.accepted) co_return 2;
+  co_await pause_for(2s);
+  auto silent_at = event_loop::steady();
+  if (trouble) {
+    auto n = at.daemons().front().store->silence();
+    at.note(concat("the ", n,
+                   " open connections of front-erie-toledo-1 to the ",
+                   "store fall silent"));
+  }
+  co_await pause_for(500ms);
+  auto target = concat("/v1/lots/", large.id);
+  auto request = outgoing{.method = "DELETE", .target = std::move(target)};
+  auto answer = co_await at.call(1, std::move(request));
+  auto ended_at = event_loop::steady();
+  at.note(concat("client: end of job j0 at ", at.daemons()[1].name, ": ",
+                 answer.status));
+  if (answer.status != 200) co_return 2;
+  co_await pause_for(11s);
+  auto late = 0;
+  auto in_touch = silent_at + contact;
+  for (const auto& id : large.items) {
+    auto it = at.ran.find(id);
+    if (it != at.ran.end() && it->second > ended_at + cancel &&
+        it->second > in_touch)
+      ++late;
+  }
+  at.note(concat("UNASKED: ", late,
+                 " items of the ended job ran later than cancelMs after the "
+                 "answer to its end, sent by a daemon in touch"));
+  co_return late > 0 ? 1 : 0;
+}
+
 }  // namespace review
--- a/review/standins-2/cases.h
+++ b/review/standins-2/cases.h
@@ -20,4 +20,7 @@
 /// The last runner of an older version starts again with the newer one.
 task<int> upgraded_in_place(stage& at, bool trouble);
 
+/// The connections of a job's owner to the store fall silent; new ones work.
+task<int> silent_store(stage& at, bool trouble);
+
 }  // namespace review
--- a/review/standins-2/main.cc
+++ b/review/standins-2/main.cc
@@ -24,6 +24,7 @@
     code = at.run(review::smuggled_request(at, trouble));
   if (name == "upgraded-in-place")
     code = at.run(review::upgraded_in_place(at, trouble));
+  if (name == "silent-store") code = at.run(review::silent_store(at, trouble));
   at.note("exit code " + std::to_string(code));
   std::cout << name << ": exit code " << code << std::endl;
   return code;
--- a/review/standins-2/stage.cc
+++ b/review/standins-2/stage.cc
@@ -4,6 +4,8 @@
 #include <stdlib.h>
 #include <unistd.h>
 
+#include <array>
+#include <boost/asio/write.hpp>
 #include <boost/json.hpp>
 #include <cstdio>
 #include <filesystem>
@@ -263,7 +265,7 @@
   runs_.remove_if([](const auto& weak) { return weak.expired(); });
   runs_.push_back(it);
   ++running_;
-  stage_.ran.insert(id);
+  stage_.ran[id] = event_loop::steady();
   stage_.note(concat("runner ", options_.id, ": ", id, " begins at ",
                      request.target, " behind event ", last));
   client->on_closed(
@@ -335,6 +337,92 @@
   });
 }
 
+struct store_path::carried {
+  fulmar::tcp::socket near;
+  fulmar::tcp::socket far;
+  bool silent = false;
+};
+
+store_path::store_path(fulmar::event_loop& loop, std::string store)
+    : io_(fulmar::io_of(loop)),
+      acceptor_(io_, {asio::ip::make_address("127.0.0.1"), 0}),
+      store_(std::move(store)) {}
+
+void store_path::start() {
+  asio::co_spawn(
+      io_, [self = shared_from_this()] { return self->accept(); },
+      asio::detached);
+}
+
+std::string store_path::address() const {
+  return concat("127.0.0.1:", acceptor_.local_endpoint().port());
+}
+
+std::size_t store_path::silence() {
+  auto out = std::size_t{0};
+  for (const auto& weak : open_) {
+    auto it = weak.lock();
+    if (!it || it->silent) continue;
+    it->silent = true;
+    ++out;
+  }
+  return out;
+}
+
+task<void> store_path::accept() {
+  for (;;) {
+    auto [ec, socket] = co_await acceptor_.async_accept(fulmar::as_result);
+    if (ec) co_return;
+    auto it = std::make_shared<carried>(
+        carried{.near = std::move(socket), .far = fulmar::tcp::socket(io_)});
+    open_.remove_if([](const auto& weak) { return weak.expired(); });
+    open_.push_back(it);
+    asio::co_spawn(
+        io_, [self = shared_from_this(), it] { return self->carry(it); },
+        asio::detached);
+  }
+}
+
+task<void> store_path::carry(std::shared_ptr<carried> it) {
+  auto mark = store_.rfind(':');
+  auto port = std::uint32_t{0};
+  (void)absl::SimpleAtoi(store_.substr(mark + 1), &port);
+  auto to =
+      fulmar::tcp::endpoint(asio::ip::make_address(store_.substr(0, mark)),
+                            static_cast<std::uint16_t>(port));
+  auto [ec] = co_await it->far.async_connect(to, fulmar::as_result);
+  if (ec) co_return;
+  auto ignored = boost::system::error_code();
+  it->near.set_option(fulmar::tcp::no_delay(true), ignored);
+  it->far.set_option(fulmar::tcp::no_delay(true), ignored);
+  asio::co_spawn(
+      io_, [self = shared_from_this(), it] { return self->pump(it, true); },
+      asio::detached);
+  co_await pump(it, false);
+}
+
+task<void> store_path::pump(std::shared_ptr<carried> it, bool outward) {
+  constexpr auto answer_time = std::chrono::milliseconds(4);
+  auto& from = outward ? it->near : it->far;
+  auto& into = outward ? it->far : it->near;
+  auto bytes = std::array<char, 65'536>();
+  for (;;) {
+    auto [ec, n] =
+        co_await from.async_read_some(asio::buffer(bytes), fulmar::as_result);
+    // A silent connection stays open until the daemon closes its end.
+    if (it->silent && !ec) continue;
+    if (ec) break;
+    if (!outward) co_await fulmar::pause_for(answer_time);
+    if (it->silent) continue;
+    auto [ec2, m] = co_await asio::async_write(
+        into, asio::buffer(bytes.data(), n), fulmar::as_result);
+    if (ec2) break;
+  }
+  auto ignored = boost::system::error_code();
+  it->near.close(ignored);
+  it->far.close(ignored);
+}
+
 stage::stage(std::string folder)
     : folder_(std::move(folder)),
       record_(folder_ + "/record.txt"),
@@ -377,9 +465,11 @@
     auto& it = daemons_.emplace_back();
     it.name = concat("front-erie-toledo-", n + 1);
     it.ip = address_of(n);
+    it.store = std::make_shared<store_path>(loop_, store_.address());
+    it.store->start();
     auto path = concat(temporary_, "/", it.name, ".yaml");
     std::ofstream(path) << json::serialize(
-        settings_of(it, daemons_.front().ip, store_.address()));
+        settings_of(it, daemons_.front().ip, it.store->address()));
     it.process = std::make_unique<fulmar::soak::child>(
         std::vector<std::string>{program},
         std::vector{concat("FULMARPITCH_CONFIG=", path)},
--- a/review/standins-2/stage.h
+++ b/review/standins-2/stage.h
@@ -126,9 +126,35 @@
   std::string headers;
 };
 
+/// Carries a daemon's connections to the store, whose answers take 4 ms.
+class store_path : public std::enable_shared_from_this<store_path> {
+ public:
+  store_path(fulmar::event_loop& loop, std::string store);
+
+  void start();
+  std::string address() const;
+  /// Open connections carry nothing any more, and are not reset; new ones work.
+  /// \return how many there are.
+  std::size_t silence();
+
+ private:
+  struct carried;
+
+  task<void> accept();
+  task<void> carry(std::shared_ptr<carried> it);
+  task<void> pump(std::shared_ptr<carried> it, bool outward);
+
+  fulmar::asio::io_context& io_;
+  fulmar::tcp::acceptor acceptor_;
+  std::string store_;
+  std::list<std::weak_ptr<carried>> open_;
+};
+
 struct daemon {
   std::string name;
   std::string ip;
+  /// Carries its connections to the store.
+  std::shared_ptr<store_path> store;
   std::unique_ptr<fulmar::soak::child> process;
 };
 
@@ -165,8 +191,8 @@
   instant last_finished{};
   /// When a runner last had each request.
   std::map<std::string, instant> last_had;
-  /// Ids of the requests that a runner began to run.
-  std::set<std::string> ran;
+  /// Ids of the requests that a runner began to run, and when it last did.
+  std::map<std::string, instant> ran;
   /// Requests that a runner finished.
   std::set<std::string> finished;
 
