--- a/review/standins-2/main.cc
+++ b/review/standins-2/main.cc
@@ -3,11 +3,14 @@
 
 #include <boost/json.hpp>
 #include <cstdlib>
+#include <exception>
 #include <iostream>
 
 #include "cases.h"
 
-int main(int argc, char** argv) {
+namespace {
+
+int play(int argc, char** argv) {
   if (argc != 3) {
     std::cerr << "usage: review-2 CASE FOLDER\n";
     return 2;
@@ -29,3 +32,15 @@
   std::cout << name << ": exit code " << code << std::endl;
   return code;
 }
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  // Unwinding ends the processes that the case started.
+  try {
+    return play(argc, argv);
+  } catch (const std::exception& fault) {
+    std::cerr << "review-2: " << fault.what() << std::endl;
+    return 2;
+  }
+}
