--- a/review/standins-2/stage.cc
+++ b/review/standins-2/stage.cc
@@ -505,6 +505,9 @@
 }
 
 task<call_result> stage::call(std::size_t daemon, outgoing request) {
+  note(concat("client sends ", request.method, " ", request.target, " to ",
+              daemons_[daemon].name, request.id.empty() ? "" : " with id ",
+              request.id));
   auto out = call_result();
   auto links = fulmar::link_pool(fulmar::io_of(loop_), {});
   auto link = links.make_link(concat(daemons_[daemon].ip, ":8161"));
