--- a/include/fulmarpitch/net/http-link.h
+++ b/include/fulmarpitch/net/http-link.h
@@ -3,6 +3,7 @@
 /// \file
 /// One kept HTTP/1.1 connection to a target or to the platform's store.
 
+#include <absl/container/flat_hash_map.h>
 #include <absl/status/status.h>
 #include <absl/status/statusor.h>
 
@@ -50,10 +51,30 @@
   void limit_kept_bytes(std::size_t most) { max_kept_bytes_ = most; }
   std::size_t kept_bytes() const { return kept_bytes_; }
 
+  /// Records a request that got no byte of an answer in its time.
+  /// \param address the address that it was sent to.
+  /// \param sent when it was sent, on the steady clock.
+  void note_silence(const std::string& address, instant sent);
+
+  /// \param heard when a connection last carried an answer, on the steady
+  ///     clock.
+  /// \return whether a request to the address was sent since then and got no
+  ///     answer, so that the connection may be silent, too.
+  bool may_be_silent(const std::string& address, instant heard) const;
+
+  /// Forgets requests that were sent before a moment on the steady clock.
+  void forget_silences(instant before);
+
+  /// \return the requests that got no byte of an answer in their time.
+  std::uint64_t silences() const { return silences_; }
+
  private:
   friend class http_link;
   friend class kept_answer;
   std::unordered_set<http_link*> links_;
+  /// By address: when the newest unanswered request was sent.
+  absl::flat_hash_map<std::string, instant> unanswered_;
+  std::uint64_t silences_ = 0;
   std::size_t kept_bytes_ = 0;
   std::size_t max_kept_bytes_ = std::numeric_limits<std::size_t>::max();
 };
@@ -101,6 +122,9 @@
   ///     that an earlier answer may come once more.
   bool was_used_before() const { return exchanges_ > 1; }
 
+  /// \return when the last request was sent, on the steady clock.
+  instant sent_at() const { return sent_at_; }
+
   /// Records that the other side refused a request. A faulty one may repeat the
   /// refusal later, when it would be taken for the answer to a retry.
   void note_refusal(std::string_view request_id);
@@ -160,8 +184,11 @@
   std::optional<instant> idle_limit_;
   std::vector<std::string> refused_;
   std::uint32_t exchanges_ = 0;
+  instant sent_at_{};
   bool expired_ = false;
   bool sending_ = false;
+  /// A byte of the answer has arrived.
+  bool heard_ = false;
 };
 
 using link_ptr = std::shared_ptr<http_link>;
--- a/include/fulmarpitch/net/link-pool.h
+++ b/include/fulmarpitch/net/link-pool.h
@@ -22,6 +22,10 @@
   instant idle_margin = std::chrono::milliseconds(1000);
   /// Idle links kept for one address.
   std::size_t per_address = 24;
+  /// A request without a byte of an answer in its time shows that the idle
+  /// links to the address may be silent, too. Not where requests may queue at
+  /// the other side until their deadlines.
+  bool timeouts_show_silence = true;
   /// IP address to connect from; empty to let the system choose.
   std::string source{};
 };
@@ -31,7 +35,8 @@
  public:
   link_pool(asio::io_context& io, link_pool_options options);
 
-  /// Gives an idle link that is still good, or a link yet to be connected.
+  /// Gives an idle link that is still good, or a link yet to be connected. Idle
+  /// links that may be silent are closed.
   link_ptr take(const std::string& address);
 
   /// Gives a link yet to be connected. An idle link may be closed by the other
@@ -55,9 +60,13 @@
  private:
   struct idle_link {
     link_ptr link;
+    /// When it was given back.
+    instant since{};
     instant until{};
   };
 
+  bool is_good(const idle_link& it, instant now) const;
+
   asio::io_context& io_;
   link_pool_options options_;
   std::shared_ptr<link_table> links_ = std::make_shared<link_table>();
--- a/src/net/http-link.cc
+++ b/src/net/http-link.cc
@@ -69,6 +69,23 @@
   std::shared_ptr<link_table> table_;
 };
 
+void link_table::note_silence(const std::string& address, instant sent) {
+  ++silences_;
+  auto& newest = unanswered_[address];
+  newest = std::max(newest, sent);
+}
+
+bool link_table::may_be_silent(const std::string& address,
+                               instant heard) const {
+  auto it = unanswered_.find(address);
+  return it != unanswered_.end() && heard <= it->second;
+}
+
+void link_table::forget_silences(instant before) {
+  absl::erase_if(unanswered_,
+                 [&](const auto& it) { return it.second < before; });
+}
+
 void link_table::close_expired(instant now) {
   for (auto* it : links_) {
     if (!it->deadline_ || now < *it->deadline_ || !it->is_open()) continue;
@@ -95,6 +112,9 @@
   auto code =
       expired_ ? error_code::deadline_exceeded : error_code::attempt_failed;
   auto why = expired_ ? std::string("its time is up") : ec.message();
+  auto timed_out = expired_ || ec == asio::error::timed_out;
+  if (sending_ && !heard_ && timed_out)
+    table_->note_silence(address_, sent_at_);
   close();
   return make_error(code, concat(what, " ", address_, ": ", why),
                     sending_ ? outcome::unknown : outcome::not_run);
@@ -140,6 +160,8 @@
   parser_->header_limit(max_head_bytes);
   parser_->body_limit(boost::none);
   sending_ = true;
+  heard_ = false;
+  sent_at_ = event_loop::steady();
   ++exchanges_;
   auto parts = std::array{asio::buffer(head), asio::buffer(body)};
   auto [ec, n] = co_await asio::async_write(socket_, parts, as_result);
@@ -156,6 +178,7 @@
   }
   auto [ec, n] =
       co_await http::async_read_header(socket_, input_, *parser_, as_result);
+  if (n > 0 || input_.size() > 0) heard_ = true;
   if (ec) co_return failure("reading from", ec);
   auto head = head_of(*parser_);
   note_keep_alive(head);
--- a/src/net/link-pool.cc
+++ b/src/net/link-pool.cc
@@ -10,13 +10,19 @@
 link_pool::link_pool(asio::io_context& io, link_pool_options options)
     : io_(io), options_(std::move(options)) {}
 
+bool link_pool::is_good(const idle_link& it, instant now) const {
+  if (now >= it.until || !it.link->is_open()) return false;
+  return !options_.timeouts_show_silence ||
+         !links_->may_be_silent(it.link->address(), it.since);
+}
+
 link_ptr link_pool::take(const std::string& address) {
   auto& idle = idle_[address];
   auto now = event_loop::steady();
   while (!idle.empty()) {
     auto it = std::move(idle.back());
     idle.pop_back();
-    if (now < it.until && it.link->is_quiet()) return it.link;
+    if (is_good(it, now) && it.link->is_quiet()) return it.link;
     it.link->close();
   }
   return make_link(address);
@@ -45,13 +51,15 @@
     it->close();
     return;
   }
-  idle.push_back({.link = std::move(it), .until = event_loop::steady() + stay});
+  auto now = event_loop::steady();
+  idle.push_back({.link = std::move(it), .since = now, .until = now + stay});
 }
 
 void link_pool::close_idle(instant now) {
+  links_->forget_silences(now - options_.idle);
   absl::erase_if(idle_, [&](auto& row) {
     std::erase_if(row.second, [&](idle_link& it) {
-      auto over = now >= it.until || !it.link->is_open();
+      auto over = !is_good(it, now);
       if (over) it.link->close();
       return over;
     });
--- a/src/serving/daemon.cc
+++ b/src/serving/daemon.cc
@@ -96,6 +96,7 @@
       teams::rate_metrics(in), count("requests_crossed", in.requests_crossed),
       count("store_calls", in.store_counts.calls),
       count("store_call_failures", in.store_counts.failures),
+      count("store_calls_unanswered", in.store_links.links().silences()),
       count("configuration_version", in.configuration->version),
       count("targets", in.targets.rows.size()),
       count("members", in.board.members.size()),
--- a/src/serving/front.cc
+++ b/src/serving/front.cc
@@ -83,7 +83,7 @@
            .data_centre = settings.data_centre},
       configuration_checked(io),
       slot_time(initial_slot_time),
-      target_links(io, {}),
+      target_links(io, {.timeouts_show_silence = false}),
       probe_links(io, {}),
       store_links(io, {.idle = std::chrono::seconds(30)}),
       daemon_links(io, {}),
