--- a/include/fulmarpitch/serving/job-run.h
+++ b/include/fulmarpitch/serving/job-run.h
@@ -32,8 +32,9 @@
   item_end end = item_end::done;
   /// Consecutive attempts whose connection broke before the first event.
   std::uint32_t consecutive_breaks = 0;
-  /// Times it was withdrawn from a target's queue since its last event.
-  std::uint32_t withdrawal_count = 0;
+  /// Runs that this daemon cut off as they brought nothing, since its last
+  /// event.
+  std::uint32_t cut_count = 0;
   /// Earliest start of the next attempt.
   instant not_before{};
   /// Pieces of its output that are already in the store.
@@ -95,8 +96,12 @@
   /// The output is longer than any answer that lists it.
   too_long,
 };
+  /// This daemon cut it off, as the target sent it nothing.
+  silent,
+  /// This daemon cut it off, as the target sent bytes without events.
+  stalled,
 
-inline constexpr std::array<named<attempt_end>, 8> attempt_end_names{{
+inline constexpr std::array<named<attempt_end>, 10> attempt_end_names{{
     {attempt_end::complete, "complete"},
     {attempt_end::impossible, "impossible"},
     {attempt_end::failed, "failed"},
@@ -106,6 +111,8 @@
     {attempt_end::queued, "queued"},
     {attempt_end::too_long, "too_long"},
 }};
+    {attempt_end::silent, "silent"},
+    {attempt_end::stalled, "stalled"},
 
 /// Longest output of an item: clients read it in an answer of at most 1 MB.
 inline constexpr std::size_t max_output_bytes = 900'000;
@@ -132,6 +139,8 @@
   /// Breaks without an event after which it no longer counts on its version.
   std::uint32_t max_version_breaks = 3;
 };
+  /// The same for runs that were cut off as they brought nothing.
+  std::uint32_t max_version_cuts = 4;
 
 /// Identifies one item of the jobs that run here.
 struct item_ref {
--- a/include/fulmarpitch/serving/slot-waits.h
+++ b/include/fulmarpitch/serving/slot-waits.h
@@ -29,11 +29,23 @@
   bool has_output = false;
   /// A batch item was already preempted for this online request.
   bool has_preempted = false;
-  /// How often this batch item was withdrawn from a target's queue since its
-  /// last event.
-  std::uint32_t withdrawal_count = 0;
+  /// Runs of this batch item that this daemon has cut off since its last event.
+  std::uint32_t cut_count = 0;
 };
 
+/// Limits on silence double with each run of an item that was cut off without
+/// an event: a sound target that reads a long prompt, or has many to read,
+/// looks like one that is full or gone. So every item gets a run that is long
+/// enough.
+/// \param limit the limit for the first run.
+/// \param cut_count runs that were cut off since the item's last event.
+/// \return the limit for the next run; the growth ends at 256 times the first.
+instant extended_limit(instant limit, std::uint32_t cut_count);
+
+/// A decoding target sends an event every 20 to 40 ms, and a request may queue
+/// there for as long as its latency goal, 300 to 500 ms.
+inline constexpr auto min_silence_timeout = std::chrono::milliseconds(700);
+
 /// How long a request may wait for its first output before the target counts as
 /// full. A target with a free slot responds in 35 ms, or 95 ms across regions.
 struct slot_wait_options {
@@ -41,8 +53,7 @@
   /// request meet it.
   instant max_online_wait = std::chrono::milliseconds(150);
   /// A queued item delays every online request behind it, but withdrawing it
-  /// costs a connection. Doubles with each withdrawal, so that an item still
-  /// runs when all targets are slow.
+  /// costs a connection. Extended for items that were cut off before.
   instant max_batch_wait = std::chrono::milliseconds(300);
 };
 
@@ -62,8 +73,9 @@
 /// \param last_event when the last complete event arrived, or when the request
 ///     was sent if none has.
 /// \param now current time on the steady clock.
+/// \param cut_count runs that were cut off since the item's last event.
 /// \return whether the stream has stalled.
-bool is_stalled(instant last_event, instant now);
+bool is_stalled(instant last_event, instant now, std::uint32_t cut_count = 0);
 
 /// The batch items to stop so that waiting requests get slots. All members are
 /// indices into the list of requests.
--- a/src/serving/front.h
+++ b/src/serving/front.h
@@ -35,6 +35,7 @@
 #include "fulmarpitch/serving/routes.h"
 #include "fulmarpitch/serving/settings.h"
 #include "fulmarpitch/serving/silent-ends.h"
+#include "fulmarpitch/serving/slot-waits.h"
 #include "fulmarpitch/serving/store.h"
 #include "fulmarpitch/serving/targets.h"
 #include "fulmarpitch/serving/versions.h"
@@ -47,10 +48,6 @@
 
 namespace fulmar::serving {
 
-/// A decoding target sends an event every 20 to 40 ms, and a request may queue
-/// there for as long as its latency goal, 300 to 500 ms.
-constexpr auto min_silence_timeout = std::chrono::milliseconds(700);
-
 /// One request in flight at a target.
 struct live_attempt {
   std::string target;
@@ -86,12 +83,13 @@
   bool target_silent = false;
   /// This daemon closed the link because the target was silent.
   bool closed_silent = false;
+  /// Batch: this daemon closed the link because no event arrived.
+  bool closed_stalled = false;
   /// This daemon closed the link: the client disconnected, or the batch item
   /// was preempted or withdrawn.
   bool stopped = false;
-  /// Batch: how often the item was withdrawn from a target's queue since its
-  /// last event.
-  std::uint32_t withdrawal_count = 0;
+  /// Batch: runs of the item that were cut off since its last event.
+  std::uint32_t cut_count = 0;
   /// Batch: withdrawn because it waited too long in the target's queue.
   bool withdrawn = false;
 
--- a/src/serving/job-run.cc
+++ b/src/serving/job-run.cc
@@ -136,7 +136,7 @@
     begin_anew(item);
     progressed = false;
   }
-  if (progressed) item.consecutive_breaks = item.withdrawal_count = 0;
+  if (progressed) item.consecutive_breaks = item.cut_count = 0;
   if (progressed) {
     item.stalled_since.reset();
   } else if (!item.stalled_since) {
@@ -163,11 +163,15 @@
       wait(item, now + options.preemption_delay);
       return;
     case attempt_end::queued:
-      ++item.withdrawal_count;
+      ++item.cut_count;
       wait(item, now + options.withdrawal_delay);
       return;
     case attempt_end::too_long:
     case attempt_end::broken:
+    case attempt_end::silent:
+    case attempt_end::stalled:
+      ++item.cut_count;
+      break;
       break;
   }
   if (progressed) {
--- a/src/serving/job-system.cc
+++ b/src/serving/job-system.cc
@@ -69,8 +69,8 @@
   std::uint64_t last_event = 0;
   /// Earlier failures of the item.
   std::uint32_t failures = 0;
-  /// Times it was withdrawn from a target's queue since its last event.
-  std::uint32_t withdrawal_count = 0;
+  /// Runs that were cut off since its last event.
+  std::uint32_t cut_count = 0;
   bool progressed = false;
 };
 
@@ -104,9 +104,12 @@
   return output.size() + event.data.size() >= max_output_bytes;
 }
 
-/// The outcome of an attempt that this daemon stopped.
-attempt_end end_of_stopped(const live_attempt& it) {
-  return it.withdrawn ? attempt_end::queued : attempt_end::preempted;
+/// The outcome of an attempt whose connection failed or was closed here.
+attempt_end end_of_broken(const live_attempt& it) {
+  if (it.withdrawn) return attempt_end::queued;
+  if (it.stopped) return attempt_end::preempted;
+  if (it.closed_silent) return attempt_end::silent;
+  return it.closed_stalled ? attempt_end::stalled : attempt_end::broken;
 }
 
 task<attempt_end> read_events(front& in, item_attempt& it, http_link& link,
@@ -116,8 +119,7 @@
   auto events = event_splitter();
   for (;;) {
     auto piece = co_await link.read_piece();
-    if (!piece.ok())
-      co_return entry.stopped ? end_of_stopped(entry) : attempt_end::broken;
+    if (!piece.ok()) co_return end_of_broken(entry);
     if (piece->empty()) break;
     entry.note_output();
     events.feed(*piece);
@@ -153,7 +155,7 @@
                                   .kind = work_kind::batch,
                                   .job = it.job,
                                   .repeatable = true,
-                                  .withdrawal_count = it.withdrawal_count});
+                                  .cut_count = it.cut_count});
   auto identity = in.configuration->teams.requires_keys || !it.team.empty()
                       ? identity_headers::dropped
                       : identity_headers::forwarded;
@@ -169,10 +171,11 @@
                                  .last_event = it.last_event};
   auto attempt = co_await begin_attempt(in, to, outgoing, entry.row());
   if (entry.row().stopped && attempt.outcome != attempt_outcome::answered)
-    co_return end_of_stopped(entry.row());
+    co_return end_of_broken(entry.row());
   if (attempt.outcome == attempt_outcome::not_run)
     co_return attempt_end::not_run;
-  if (attempt.outcome == attempt_outcome::broken) co_return attempt_end::broken;
+  if (attempt.outcome == attempt_outcome::broken)
+    co_return end_of_broken(entry.row());
   auto link = entry.row().link;
   const auto& head = attempt.head;
   auto signature =
@@ -192,10 +195,12 @@
     end = co_await read_events(in, it, *link, head, entry.row(), origin_of(to));
   } else {
     auto rest = co_await link->read_rest(max_error_body_bytes);
-    if (!rest.ok()) co_return attempt_end::broken;
+    if (!rest.ok()) co_return end_of_broken(entry.row());
     if (head.status == status_unprocessable) end = attempt_end::impossible;
   }
-  auto answered = end != attempt_end::broken && !entry.row().stopped;
+  auto whole = end == attempt_end::complete || end == attempt_end::impossible ||
+               end == attempt_end::failed;
+  auto answered = whole && !entry.row().stopped;
   if (end == attempt_end::complete)
     note_parts_answered(in, part_keys_of(it.request.headers));
   if (answered) {
@@ -277,7 +282,8 @@
   keep_version(found, item.progress.origin.version);
   if (found.rows.size() == any.rows.size()) return false;
   constexpr auto options = item_retry_options();
-  auto breaks = item.consecutive_breaks >= options.max_version_breaks;
+  auto breaks = item.consecutive_breaks >= options.max_version_breaks ||
+                item.cut_count >= options.max_version_cuts;
   if (!breaks && place_batch(found.candidates, reserve)) return false;
   if (!place_batch(any.candidates, reserve)) return false;
   auto now = event_loop::steady();
@@ -330,7 +336,7 @@
                          .request = item.request,
                          .last_event = item.progress.last_event,
                          .failures = item.progress.failures,
-                         .withdrawal_count = item.withdrawal_count};
+                         .cut_count = item.cut_count};
   asio::co_spawn(in.io, run_item(in, std::move(it), found.rows[*at]->listed),
                  report_failure);
   return item_start::started;
--- a/src/serving/slot-waits.cc
+++ b/src/serving/slot-waits.cc
@@ -6,14 +6,11 @@
 namespace fulmar::serving {
 namespace {
 
-/// Caps the batch timeout at 4.8 s, longer than any target takes to start a
-/// request.
-constexpr std::uint32_t max_doublings = 4;
+constexpr std::uint32_t max_doublings = 8;
 
 instant max_wait_of(const slot_use& it, const slot_wait_options& options) {
   if (it.kind == work_kind::online) return options.max_online_wait;
-  return options.max_batch_wait *
-         (1 << std::min(it.withdrawal_count, max_doublings));
+  return extended_limit(options.max_batch_wait, it.cut_count);
 }
 
 bool waited_too_long(const slot_use& it, instant now,
@@ -39,6 +36,10 @@
 
 }  // namespace
 
+instant extended_limit(instant limit, std::uint32_t cut_count) {
+  return limit * (1 << std::min(cut_count, max_doublings));
+}
+
 absl::flat_hash_set<std::uint64_t> full_targets(
     std::span<const slot_use> uses, instant now,
     const slot_wait_options& options) {
@@ -49,8 +50,8 @@
   return out;
 }
 
-bool is_stalled(instant last_event, instant now) {
-  return now - last_event > max_event_gap;
+bool is_stalled(instant last_event, instant now, std::uint32_t cut_count) {
+  return now - last_event > extended_limit(max_event_gap, cut_count);
 }
 
 preemption_plan plan_preemptions(std::span<const slot_use> uses, instant now,
--- a/src/serving/slots.cc
+++ b/src/serving/slots.cc
@@ -28,7 +28,7 @@
                         .sent = it.last_received,
                         .has_output = it.has_output,
                         .has_preempted = it.has_preempted,
-                        .withdrawal_count = it.withdrawal_count});
+                        .cut_count = it.cut_count});
   }
   return out;
 }
@@ -56,8 +56,11 @@
 ///     silent for a while and go on, so a request waits for it if it may run
 ///     nowhere else, or has begun and finds no slot elsewhere.
 /// \param spare is reduced by the slot that the request takes.
-bool may_close(const live_attempt& it, spare_slots& spare) {
-  if (it.kind == work_kind::batch) return true;
+bool may_close(const live_attempt& it, spare_slots& spare, instant now) {
+  if (it.kind == work_kind::batch) {
+    auto limit = extended_limit(it.silence_timeout, it.cut_count);
+    return now - it.last_received >= limit;
+  }
   if (it.is_last) return false;
   auto has_begun = it.has_output || it.head_sent;
   if (!has_begun) return true;
@@ -117,9 +120,11 @@
 void close_stalled_streams(front& in, instant now) {
   for (auto& it : in.attempts) {
     if (it.kind != work_kind::batch || it.started.count() == 0) continue;
-    if (!it.link || !it.link->is_open() || !is_stalled(it.last_event, now))
+    if (!it.link || !it.link->is_open() ||
+        !is_stalled(it.last_event, now, it.cut_count))
       continue;
     in.log.add("item_stalled", {{"target", it.target}, {"job", it.job}});
+    it.closed_stalled = true;
     it.link->close();
     record_target_failure(in, it.target, target_fault::silent);
   }
@@ -134,7 +139,7 @@
     if (!it.target_silent || !it.repeatable) continue;
     if (!it.link || !it.link->is_open()) continue;
     if (!spare) spare = count_spare_slots(in, now);
-    if (!may_close(it, *spare)) continue;
+    if (!may_close(it, *spare, now)) continue;
     it.closed_silent = true;
     it.link->close();
   }
--- a/test/job-run-test.cc
+++ b/test/job-run-test.cc
@@ -5,6 +5,7 @@
 #include <limits>
 
 #include "fulmarpitch/core/invariant.h"
+#include "fulmarpitch/serving/slot-waits.h"
 
 using namespace fulmar;
 using namespace fulmar::serving;
@@ -136,9 +137,9 @@
   auto& item = running(run, 0);
   end_attempt(item, attempt_end::queued, false, 1, 0s);
   end_attempt(item, attempt_end::queued, false, 1, 0s);
-  CHECK(item.withdrawal_count == 2);
+  CHECK(item.cut_count == 2);
   end_attempt(item, attempt_end::preempted, true, 1, 0s);
-  CHECK(item.withdrawal_count == 0);
+  CHECK(item.cut_count == 0);
 }
 
 TEST_CASE("finished items are listed once, in one transaction") {
@@ -563,3 +564,54 @@
   ++last.progress.failures;
   CHECK(next_save(run, 20, wide));
 }
+
+namespace {
+
+/// Runs an item at sound targets that take some time to read its prompt, under
+/// the limits on silence.
+/// \return the runs until one was long enough; 0 if none of 20 was.
+int runs_until_begun(instant reading_time) {
+  auto run = sample();
+  auto now = instant();
+  constexpr auto max_runs = 20;
+  for (auto n = 1; n <= max_runs; ++n) {
+    auto& item = running(run, 0);
+    auto cuts = item.cut_count;
+    auto use = slot_use{.kind = work_kind::batch, .cut_count = cuts};
+    auto silent = extended_limit(min_silence_timeout, cuts) <= reading_time;
+    auto withdrawn =
+        !plan_preemptions(std::vector{use}, reading_time).withdrawn.empty();
+    auto stalled = is_stalled(instant(), reading_time, cuts);
+    if (!silent && !withdrawn && !stalled) return n;
+    auto end = withdrawn ? attempt_end::queued
+               : silent  ? attempt_end::silent
+                         : attempt_end::stalled;
+    end_attempt(item, end, false, 6, now);
+    now = item.not_before;
+  }
+  return 0;
+}
+
+}  // namespace
+
+// An item used to get 0.7 s at most however often it was cut off: a prompt that
+// takes a target longer to read was never run.
+TEST_CASE("an item is run however long its prompt takes to read") {
+  CHECK(runs_until_begun(35ms) == 1);
+  CHECK(runs_until_begun(350ms) == 2);
+  CHECK(runs_until_begun(2100ms) == 4);
+  CHECK(runs_until_begun(20s) == 8);
+  CHECK(runs_until_begun(60s) == 9);
+}
+
+TEST_CASE("runs that are cut off for silence extend the next one") {
+  auto run = sample();
+  auto& item = running(run, 0);
+  auto end = GENERATE(attempt_end::silent, attempt_end::stalled);
+  end_attempt(item, end, false, 6, 0s);
+  CHECK(item.cut_count == 1);
+  end_attempt(running(run, 0), end, false, 6, 0s);
+  CHECK(item.cut_count == 2);
+  end_attempt(running(run, 0), attempt_end::broken, true, 6, 0s);
+  CHECK(item.cut_count == 0);
+}
--- a/test/slot-waits-test.cc
+++ b/test/slot-waits-test.cc
@@ -65,17 +65,25 @@
   CHECK(plan_preemptions(uses, now).preempted.empty());
 }
 
-TEST_CASE("the queue timeout of an item doubles with each withdrawal") {
+TEST_CASE("the queue timeout of an item doubles with each run cut off") {
   auto again = batch(1, 500ms, false);
-  again.withdrawal_count = 1;
+  again.cut_count = 1;
   CHECK(plan_preemptions(std::vector{again}, now).withdrawn.empty());
   again.sent = now - 601ms;
   CHECK(plan_preemptions(std::vector{again}, now).withdrawn.size() == 1);
-  again.withdrawal_count = 100;
-  again.sent = now - 4801ms;
+  again.cut_count = 100;
+  again.sent = now - 76'800ms;
+  CHECK(plan_preemptions(std::vector{again}, now).withdrawn.empty());
+  again.sent = now - 76'801ms;
   CHECK(plan_preemptions(std::vector{again}, now).withdrawn.size() == 1);
 }
 
+TEST_CASE("the limit on a stream without events doubles, too") {
+  CHECK(is_stalled(0s, 10'001ms));
+  CHECK_FALSE(is_stalled(0s, 20s, 1));
+  CHECK(is_stalled(0s, 20'001ms, 1));
+}
+
 TEST_CASE("an item in a target's queue is withdrawn, not preempted") {
   auto uses = std::vector{batch(1, 400ms, false), online(1, 200ms)};
   auto plan = plan_preemptions(uses, now);
