--- a/include/fulmarpitch/serving/job-run.h
+++ b/include/fulmarpitch/serving/job-run.h
@@ -9,6 +9,7 @@
 
 #include <array>
 #include <cstdint>
+#include <functional>
 #include <limits>
 #include <optional>
 #include <string>
@@ -95,11 +96,11 @@
   queued,
   /// The output is longer than any answer that lists it.
   too_long,
-};
   /// This daemon cut it off, as the target sent it nothing.
   silent,
   /// This daemon cut it off, as the target sent bytes without events.
   stalled,
+};
 
 inline constexpr std::array<named<attempt_end>, 10> attempt_end_names{{
     {attempt_end::complete, "complete"},
@@ -110,9 +111,9 @@
     {attempt_end::preempted, "yielded"},
     {attempt_end::queued, "queued"},
     {attempt_end::too_long, "too_long"},
-}};
     {attempt_end::silent, "silent"},
     {attempt_end::stalled, "stalled"},
+}};
 
 /// Longest output of an item: clients read it in an answer of at most 1 MB.
 inline constexpr std::size_t max_output_bytes = 900'000;
@@ -138,9 +139,9 @@
   instant max_version_wait = std::chrono::milliseconds(3000);
   /// Breaks without an event after which it no longer counts on its version.
   std::uint32_t max_version_breaks = 3;
-};
   /// The same for runs that were cut off as they brought nothing.
   std::uint32_t max_version_cuts = 4;
+};
 
 /// Identifies one item of the jobs that run here.
 struct item_ref {
@@ -164,6 +165,8 @@
   instant urgency = std::chrono::milliseconds(4000);
   /// Considers urgent items only.
   bool only_urgent = false;
+  /// Considers the items for which it returns true; all if not set.
+  std::function<bool(const job_run&, const job_item&)> accepts;
 };
 
 /// An item that may start, with its deadline.
--- a/include/fulmarpitch/serving/late-queue.h
+++ b/include/fulmarpitch/serving/late-queue.h
@@ -8,15 +8,20 @@
 /// half a second more costs themselves nothing. They are held at the daemon,
 /// the earliest deadline first, and start on slots that new requests leave.
 
+#include <absl/container/flat_hash_map.h>
+
 #include <cstdint>
 #include <deque>
 #include <functional>
 #include <map>
 #include <set>
+#include <string>
+#include <string_view>
 #include <utility>
 
 #include "fulmarpitch/core/types.h"
 #include "fulmarpitch/serving/placement.h"
+#include "fulmarpitch/serving/versions.h"
 
 namespace fulmar::serving {
 
@@ -85,32 +90,46 @@
 /// \param slot_time mean time that an online request holds a slot.
 std::uint32_t max_late_running(double slots, double rate, instant slot_time);
 
-/// The late requests of a daemon.
+/// The late requests of a daemon. Those of one service and version wait in one
+/// line, as the targets of another have no room to give them.
 struct late_queue {
   /// Deadlines of those that are held, with a number that tells equal ones
-  /// apart.
-  std::set<std::pair<instant, std::uint64_t>> waiting;
+  /// apart. No line is empty.
+  absl::flat_hash_map<stream_origin,
+                      std::set<std::pair<instant, std::uint64_t>>>
+      waiting;
   std::uint64_t last_number = 0;
-  /// Those that were held and run now.
-  std::uint32_t running = 0;
+  /// Those that were held and run now, by service; none is 0.
+  std::map<std::string, std::uint32_t, std::less<>> running;
 };
 
+/// \return the services for which late requests are held.
+std::set<std::string, std::less<>> services_waited_for(const late_queue& queue);
+
+/// \return the requests to a service that were held and run now.
+std::uint32_t count_running(const late_queue& queue, std::string_view service);
+
 /// Scope guard that keeps a request in the queue until it ends.
 class late_queue_entry {
  public:
-  late_queue_entry(late_queue& queue, instant deadline);
+  /// \param line the service of the request, and the version that it needs;
+  ///     an empty version if any will do.
+  late_queue_entry(late_queue& queue, stream_origin line, instant deadline);
   ~late_queue_entry();
   late_queue_entry(const late_queue_entry&) = delete;
   late_queue_entry& operator=(const late_queue_entry&) = delete;
 
-  /// \return whether the request is the next to start.
+  /// \return whether the request is the next of its line to start.
   bool is_first() const;
 
   /// The request is held no longer.
   void start();
 
  private:
+  void leave_line();
+
   late_queue& queue_;
+  stream_origin line_;
   std::pair<instant, std::uint64_t> key_;
   bool running_ = false;
 };
--- a/src/online/placing.cc
+++ b/src/online/placing.cc
@@ -19,7 +19,7 @@
 /// \return whether this daemon runs as many late requests as it may.
 bool late_requests_full(const front& in, const online_request& it) {
   auto rate = arrival_rate(in.arrivals, event_loop::steady());
-  return in.late_requests.running >=
+  return count_running(in.late_requests, it.service) >=
          max_late_running(share_of_slots(in, it), rate, in.slot_time);
 }
 
@@ -75,7 +75,9 @@
 }
 
 task<std::string> hold(front& in, online_request& it) {
-  auto& entry = it.late_entry.emplace(in.late_requests, it.deadline);
+  auto line = it.origin.value_or(stream_origin{.service = it.service});
+  auto& entry =
+      it.late_entry.emplace(in.late_requests, std::move(line), it.deadline);
   auto id = std::string();
   while (is_late(in, it) && !it.client_gone && may_continue(in, it)) {
     if (entry.is_first()) id = place_held(in, it);
--- a/src/serving/job-run.cc
+++ b/src/serving/job-run.cc
@@ -123,7 +123,9 @@
           item_choice{.ref = {.job = id, .item = it},
                       .in_time = store_now + left + options.margin <= due,
                       .due = due};
-      if (!best || before(choice, *best)) best = std::move(choice);
+      if (best && !before(choice, *best)) continue;
+      if (options.accepts && !options.accepts(run, item)) continue;
+      best = std::move(choice);
     }
   }
   return best;
@@ -166,12 +168,12 @@
       ++item.cut_count;
       wait(item, now + options.withdrawal_delay);
       return;
-    case attempt_end::too_long:
-    case attempt_end::broken:
     case attempt_end::silent:
     case attempt_end::stalled:
       ++item.cut_count;
       break;
+    case attempt_end::too_long:
+    case attempt_end::broken:
       break;
   }
   if (progressed) {
--- a/src/serving/job-system.cc
+++ b/src/serving/job-system.cc
@@ -13,6 +13,7 @@
 #include "fulmarpitch/core/rendezvous.h"
 #include "fulmarpitch/core/text.h"
 #include "fulmarpitch/net/event-splitter.h"
+#include "fulmarpitch/serving/item-starts.h"
 #include "fulmarpitch/serving/job-takeover.h"
 #include "job-store.h"
 #include "job-writes.h"
@@ -242,16 +243,29 @@
               max_failures(in, run->row), now);
 }
 
-/// Selects the service that runs an item, according to the traffic split of
-/// the job's route in the current configuration.
-std::string service_of(const front& in, const job_row& job,
-                       const submitted_item& item) {
-  const auto* path = find_route(*in.configuration, job.route);
-  if (path == nullptr)
-    path = match_route(*in.configuration, job.host, item.path);
-  if (path == nullptr) return {};
-  return std::string(pick_service(*path, stable_hash(item.id)));
-}
+/// Selects the services that run items, according to the traffic splits of
+/// their jobs' routes in the current configuration. Remembers the last route,
+/// as most look-ups in a row are for one job.
+class service_finder {
+ public:
+  explicit service_finder(const front& in) : configuration_(in.configuration) {}
+
+  /// \return the service's name; empty if no route leads to one.
+  std::string_view find(const job_run& run, const submitted_item& item) {
+    if (std::exchange(run_, &run) != &run)
+      route_ = find_route(*configuration_, run.row.route);
+    const auto* path = route_;
+    if (path == nullptr)
+      path = match_route(*configuration_, run.row.host, item.path);
+    if (path == nullptr) return {};
+    return pick_service(*path, stable_hash(item.id));
+  }
+
+ private:
+  std::shared_ptr<const served_configuration> configuration_;
+  const job_run* run_ = nullptr;
+  const route* route_ = nullptr;
+};
 
 /// Restarts an item from its first event, unless it has no output.
 void restart_item(front& in, job_item& item, std::string_view why) {
@@ -297,22 +311,14 @@
   return true;
 }
 
-/// What became of an item that was to be started.
-enum class item_start {
-  started,
-  /// It waits for a target of the version that began it.
-  postponed,
-  no_room,
-};
-
 /// Starts an item on a target that has room for it.
-item_start start_item(front& in, const item_ref& ref,
+item_start start_item(front& in, service_finder& services, const item_ref& ref,
                       const batch_reserve& reserve) {
   auto& run = in.runs.at(ref.job);
   auto& item = run.items[ref.item];
   auto farthest = reserve.slots_per_reserved_away > 0 ? distance::other_region
                                                       : distance::data_centre;
-  auto service = service_of(in, run.row, item.request);
+  auto service = std::string(services.find(run, item.request));
   check_origin(in, item, service);
   auto found = targets_of(in, service, farthest);
   auto used = reserve;
@@ -345,23 +351,24 @@
 /// Starts items in this data centre, and in others only those that would be
 /// late otherwise, because traffic between data centres is billed.
 void start_items(front& in, instant now) {
-  auto store_now = store_time(in).value_or(instant{});
   auto here = batch_reserve{.slots_per_reserved = slots_per_reserved,
                             .heard_share = heard_share(in.board, now)};
   auto anywhere = here;
   anywhere.slots_per_reserved_away = slots_per_reserved_away;
-  for (auto started = 0; started < starts_per_tick;) {
-    auto next = next_item(in.runs, now, store_now);
-    if (!next) return;
-    auto result = start_item(in, next->ref, here);
-    if (result == item_start::no_room) {
-      auto urgent = next_item(in.runs, now, store_now, {.only_urgent = true});
-      if (!urgent) return;
-      result = start_item(in, urgent->ref, anywhere);
-    }
-    if (result == item_start::no_room) return;
-    if (result == item_start::started) ++started;
-  }
+  auto services = service_finder(in);
+  auto starter = item_starter{
+      .service_of =
+          [&](const job_run& run, const job_item& item) {
+            return services.find(run, item.request);
+          },
+      .start =
+          [&](const item_ref& ref, item_reach reach) {
+            auto away = reach == item_reach::anywhere;
+            return start_item(in, services, ref, away ? anywhere : here);
+          }};
+  // Late requests are online requests: batch does not start before them.
+  start_items(in.runs, now, store_time(in).value_or(instant{}), starts_per_tick,
+              services_waited_for(in.late_requests), starter);
 }
 
 /// Applies newer rows from the book to the jobs that run here.
@@ -522,8 +529,7 @@
   adopt_jobs(in, now);
   start_listings(in, now);
   start_saves(in, now);
-  // Late requests are online requests: batch does not start before them.
-  if (!in.leaving && in.late_requests.waiting.empty()) start_items(in, now);
+  if (!in.leaving) start_items(in, now);
   probe_targets(in, now);
 }
 
--- a/src/serving/late-queue.cc
+++ b/src/serving/late-queue.cc
@@ -86,25 +86,52 @@
   return static_cast<std::uint32_t>(std::max(slots - needed, 1.0));
 }
 
-late_queue_entry::late_queue_entry(late_queue& queue, instant deadline)
-    : queue_(queue), key_(deadline, ++queue.last_number) {
-  queue_.waiting.insert(key_);
+std::set<std::string, std::less<>> services_waited_for(
+    const late_queue& queue) {
+  auto out = std::set<std::string, std::less<>>();
+  for (const auto& [line, requests] : queue.waiting)
+    out.insert(line.service);
+  return out;
+}
+
+std::uint32_t count_running(const late_queue& queue, std::string_view service) {
+  auto it = queue.running.find(service);
+  return it == queue.running.end() ? 0 : it->second;
+}
+
+late_queue_entry::late_queue_entry(late_queue& queue, stream_origin line,
+                                   instant deadline)
+    : queue_(queue),
+      line_(std::move(line)),
+      key_(deadline, ++queue.last_number) {
+  queue_.waiting[line_].insert(key_);
 }
 
 late_queue_entry::~late_queue_entry() {
-  queue_.waiting.erase(key_);
-  if (running_) --queue_.running;
+  if (!running_) {
+    leave_line();
+    return;
+  }
+  auto it = queue_.running.find(line_.service);
+  if (--it->second == 0) queue_.running.erase(it);
+}
+
+void late_queue_entry::leave_line() {
+  auto it = queue_.waiting.find(line_);
+  it->second.erase(key_);
+  if (it->second.empty()) queue_.waiting.erase(it);
 }
 
 void late_queue_entry::start() {
   if (running_) return;
-  queue_.waiting.erase(key_);
-  ++queue_.running;
+  leave_line();
+  ++queue_.running[line_.service];
   running_ = true;
 }
 
 bool late_queue_entry::is_first() const {
-  return *queue_.waiting.begin() == key_;
+  auto it = queue_.waiting.find(line_);
+  return it != queue_.waiting.end() && *it->second.begin() == key_;
 }
 
 }  // namespace fulmar::serving
--- a/test/late-queue-test.cc
+++ b/test/late-queue-test.cc
@@ -92,21 +92,45 @@
 }
 
 TEST_CASE("late requests start by deadline") {
+  const auto line = stream_origin{.service = "s"};
   auto queue = late_queue();
-  auto second = late_queue_entry(queue, 2s);
-  auto first = late_queue_entry(queue, 1s);
+  auto second = late_queue_entry(queue, line, 2s);
+  auto first = late_queue_entry(queue, line, 1s);
   CHECK(first.is_first());
   CHECK_FALSE(second.is_first());
   first.start();
   CHECK(second.is_first());
-  CHECK(queue.running == 1);
+  CHECK(count_running(queue, "s") == 1);
   {
-    auto gone = late_queue_entry(queue, 500ms);
+    auto gone = late_queue_entry(queue, line, 500ms);
     CHECK_FALSE(second.is_first());
   }
   CHECK(second.is_first());
 }
 
+// A service or version without room would hold up all late requests, and all
+// batch items with them.
+TEST_CASE("late requests wait for those of their service and version only") {
+  const auto line = stream_origin{.service = "s", .version = "v1"};
+  const auto* service = GENERATE("s", "t");
+  const auto* version = GENERATE("", "v2");
+  CAPTURE(service, version);
+  auto queue = late_queue();
+  {
+    auto blocked = late_queue_entry(queue, line, 1s);
+    CHECK(services_waited_for(queue).contains("s"));
+    CHECK_FALSE(services_waited_for(queue).contains("t"));
+    auto other =
+        late_queue_entry(queue, {.service = service, .version = version}, 2s);
+    CHECK(other.is_first());
+    CHECK(blocked.is_first());
+    other.start();
+    CHECK(count_running(queue, service) == 1);
+  }
+  CHECK(services_waited_for(queue).empty());
+  CHECK(count_running(queue, service) == 0);
+}
+
 namespace {
 
 /// A load after an outage: new requests and those that come back.
