--- a/src/net/http-client.cc
+++ b/src/net/http-client.cc
@@ -7,6 +7,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "answer-reader.h"
 #include "endpoint.h"
 #include "event-loop-impl.h"
 #include "fulmarpitch/core/errors.h"
@@ -23,6 +24,8 @@
 
 constexpr std::size_t read_bytes = 16'384;
 
+constexpr std::uint32_t max_head_bytes = 64 * 1024;
+
 /// Bytes that the parser may hold back; it bounds the head, and neither the
 /// size nor the extension or trailers of chunks.
 constexpr std::size_t max_input_bytes = std::size_t{128} * 1024;
@@ -112,14 +115,14 @@
     auto ec = boost::system::error_code();
     auto token = asio::redirect_error(asio::use_awaitable, ec);
     auto buf = beast::flat_buffer(max_input_bytes);
-    auto parser = http::response_parser<http::buffer_body>();
-    parser.body_limit(boost::none);
+    auto reader = std::optional<answer_parser>();
     stream_.expires_after(options_.idle_timeout);
-    co_await http::async_read_header(stream_, buf, parser, token);
+    ec = co_await read_final_head(stream_, buf, reader, max_head_bytes);
     if (ec) {
       fail("read from", ec);
       co_return;
     }
+    auto& parser = *reader;
     give_head(parser.get());
     auto piece = std::string(read_bytes, '\0');
     while (!parser.is_done() && !ended_) {
--- a/src/net/http-link.cc
+++ b/src/net/http-link.cc
@@ -12,6 +12,7 @@
 #include <limits>
 #include <utility>
 
+#include "answer-reader.h"
 #include "endpoint.h"
 #include "fulmarpitch/core/errors.h"
 #include "fulmarpitch/core/text.h"
@@ -156,9 +157,7 @@
 
 task<absl::Status> http_link::send(std::string_view head,
                                    std::string_view body) {
-  parser_.emplace();
-  parser_->header_limit(max_head_bytes);
-  parser_->body_limit(boost::none);
+  reset_parser(parser_, max_head_bytes);
   sending_ = true;
   heard_ = false;
   sent_at_ = event_loop::steady();
@@ -170,15 +169,8 @@
 }
 
 task<absl::StatusOr<answer_head>> http_link::read_head() {
-  // A second answer on the connection needs a fresh parser.
-  if (!parser_ || parser_->is_done()) {
-    parser_.emplace();
-    parser_->header_limit(max_head_bytes);
-    parser_->body_limit(boost::none);
-  }
-  auto [ec, n] =
-      co_await http::async_read_header(socket_, input_, *parser_, as_result);
-  if (n > 0 || input_.size() > 0) heard_ = true;
+  auto ec = co_await read_final_head(socket_, input_, parser_, max_head_bytes);
+  if (parser_->got_some()) heard_ = true;
   if (ec) co_return failure("reading from", ec);
   auto head = head_of(*parser_);
   note_keep_alive(head);
--- a/src/online/forwarding.cc
+++ b/src/online/forwarding.cc
@@ -156,12 +156,15 @@
     record_target_failure(in, it.to.id, target_fault::broke_off);
     co_return serve_outcome::broken;
   }
-  if (success && it.head_sent && !may_be_stream(head)) {
+  auto streams = it.matched_route->kind == route_kind::stream;
+  auto other_status = streams && head.status != status_ok;
+  auto other_type = it.head_sent && !may_be_stream(head);
+  if (success && (other_status || other_type)) {
     link.close();
     note_broken_stream(in, it, entry, stream_end::other_type, absl::OkStatus());
     co_return serve_outcome::broken;
   }
-  if (success && it.matched_route->kind == route_kind::stream)
+  if (success && streams)
     co_return co_await forward_stream(in, it, link, head, entry);
   auto body = co_await link.read_rest(max_answer_bytes);
   if (!body.ok()) {
--- a/src/serving/front.h
+++ b/src/serving/front.h
@@ -518,6 +518,8 @@
 
 /// The request did not run, so the client may retry it.
 inline constexpr int status_not_run = 503;
+/// The only status of a stream of events.
+inline constexpr int status_ok = 200;
 inline constexpr int status_not_found = 404;
 
 /// It is unknown whether the request took effect.
--- a/src/serving/job-system.cc
+++ b/src/serving/job-system.cc
@@ -181,13 +181,13 @@
   const auto& head = attempt.head;
   auto signature =
       find_header(head.headers, platform::header::target_signature);
-  auto end = attempt_end::failed;
+  auto end = attempt_end::broken;
   if (head.status < min_redirect_status) {
     if (signature.empty()) {
       link->close();
       co_return attempt_end::broken;
     }
-    if (!may_be_stream(head)) {
+    if (head.status != status_ok || !may_be_stream(head)) {
       link->close();
       log_broken_stream(in, it.request.id, to.id, stream_end::other_type,
                         it.last_event);
@@ -198,6 +198,14 @@
     auto rest = co_await link->read_rest(max_error_body_bytes);
     if (!rest.ok()) co_return end_of_broken(entry.row());
     if (head.status == status_unprocessable) end = attempt_end::impossible;
+    if (head.status >= min_server_error_status) end = attempt_end::failed;
+    // Other refusals say nothing of the item.
+    if (end == attempt_end::broken) {
+      in.log.add("item_refused", {{"request_id", it.request.id},
+                                  {"target", to.id},
+                                  {"status", std::int64_t{head.status}}});
+      record_target_failure(in, to.id, target_fault::failed);
+    }
   }
   auto whole = end == attempt_end::complete || end == attempt_end::impossible ||
                end == attempt_end::failed;
--- a/src/serving/load-probe.cc
+++ b/src/serving/load-probe.cc
@@ -27,7 +27,6 @@
 
 constexpr std::size_t max_answer_bytes = std::size_t{64} * 1024;
 
-constexpr int status_ok = 200;
 constexpr int status_misdirected = 421;
 
 /// A target's answer to the question for its load.
--- a/src/teams/peer-system.cc
+++ b/src/teams/peer-system.cc
@@ -126,10 +126,10 @@
 
 /// \return why a daemon gave no configuration; empty if it gave an answer.
 std::string fault_of(const absl::StatusOr<http_response>& answer) {
-  constexpr int status_ok = 200;
   if (!answer.ok()) return std::string(answer.status().message());
-  return answer->status == status_ok ? std::string()
-                                     : concat("status ", answer->status);
+  return answer->status == serving::status_ok
+             ? std::string()
+             : concat("status ", answer->status);
 }
 
 task<void> fetch_configuration(front& in, std::string from) {
--- a/test/broken-head-test.cc
+++ b/test/broken-head-test.cc
@@ -5,6 +5,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "job-calls.h"
 #include "serving-fixture.h"
 
 using namespace fulmar;
@@ -96,3 +97,102 @@
   });
   CHECK(results.find(R"("output":"d1\nd2\nd3\nd4")") != std::string::npos);
 }
+
+namespace {
+
+/// Heads that name the request, and are no answer to it.
+std::vector<std::string> false_heads(const std::string& id) {
+  const auto fields = concat("Fulmarpitch-Attempt-Id: ", id,
+                             "\r\nFulmarpitch-Server-Stamp: stamp\r\n");
+  const auto body = concat(fields, "Content-Length: 2\r\n\r\nok");
+  return {"HTTP/1.1 000 Odd\r\n" + body,
+          "HTTP/1.1 099 Odd\r\n" + body,
+          "HTTP/1.1 101 Switching Protocols\r\n" + body,
+          "HTTP/1.1 600 Odd\r\n" + body,
+          "HTTP/1.1 000 Odd\r\n" + fields +
+              "Transfer-Encoding: chunked\r\n\r\n" + chunk(event(1)) +
+              "0\r\n\r\n",
+          "HTTP/1.1 000 Odd\r\nFulmarpitch-Not-Run: 1\r\n" + body,
+          "HTTP/1.1 200 OK\r\nX Y: 1\r\n" + body,
+          "HTTP/1.1 200 OK\r\nX\001: 1\r\n" + body,
+          "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding: gzip\r\n\r\nok"};
+}
+
+constexpr auto false_head_count = 9;
+
+}  // namespace
+
+// The status 000 counted as a success, as it is less than 300.
+TEST_CASE("a head that is no answer reaches no client") {
+  auto which = GENERATE(range(0, false_head_count));
+  const auto* path = GENERATE("/once/1", "/again/1", "/slow/1");
+  CAPTURE(which, path);
+  auto& it = make_fixture();
+  auto& target = it.add_target([which](const std::string& head) {
+    return scripted_answer{.bytes = false_heads(id_of(head)).at(which),
+                           .close = true};
+  });
+  it.start();
+  auto answer = it.post(path, "a1");
+  REQUIRE(answer.ok());
+  CHECK(answer->status >= 500);
+  auto promises = answer->status == 503;
+  CHECK_FALSE(promises);
+  CHECK(find_header(answer->headers, "Fulmarpitch-Server-Stamp").empty());
+  if (std::string_view(path) == "/once/1") CHECK(target.heads.size() == 1);
+}
+
+TEST_CASE("a stream needs the status 200") {
+  const auto* status = GENERATE("204 No Content", "206 Partial Content");
+  const auto* path = GENERATE("/once/1", "/again/1");
+  CAPTURE(status, path);
+  auto& it = make_fixture();
+  it.add_target([status](const std::string& head) {
+    return scripted_answer{
+        .bytes = concat("HTTP/1.1 ", status,
+                        "\r\nFulmarpitch-Attempt-Id: ", id_of(head),
+                        "\r\nFulmarpitch-Server-Stamp: stamp\r\n\r\n"),
+        .close = true};
+  });
+  it.start();
+  auto answer = it.post(path, "a1");
+  REQUIRE(answer.ok());
+  CHECK(answer->status >= 500);
+}
+
+TEST_CASE("an item is neither done nor dead by an answer that is none") {
+  struct false_answer {
+    const char* status;
+    /// Of these statuses, as many as of 500 make an item dead.
+    std::size_t count;
+  };
+  auto [status, count] = GENERATE(values<false_answer>({{"000 Odd", 1},
+                                                        {"101 Odd", 1},
+                                                        {"204 No Content", 1},
+                                                        {"302 Found", 4},
+                                                        {"404 Not Found", 4}}));
+  CAPTURE(status);
+  auto& it = make_fixture();
+  auto runs = std::size_t{0};
+  it.add_target([&, status = status, count = count](const std::string& head) {
+    if (++runs > count) return whole(head);
+    auto fields = concat("Fulmarpitch-Attempt-Id: ", id_of(head),
+                         "\r\nFulmarpitch-Server-Stamp: stamp\r\n");
+    return scripted_answer{.bytes = concat("HTTP/1.1 ", status, "\r\n", fields,
+                                           "Content-Length: 0\r\n\r\n"),
+                           .close = true};
+  });
+  it.start();
+  auto answer = it.call({.method = "POST",
+                         .target = "/jobs/j1",
+                         .headers = {{"Fulmarpitch-Attempt-Id", "j1"}},
+                         .body = job_body(1, "prompt", 1)});
+  REQUIRE(answer.ok());
+  REQUIRE(answer->status == 202);
+  // Each pause after a false answer is longer than the last.
+  for (auto n = std::size_t{0}; n < count; ++n)
+    it.until([&] { return listed(it, "j1") == 1; });
+  auto results = all_results(it, "j1");
+  REQUIRE(results.size() == 1);
+  CHECK(results[0].at("state").as_string() == "done");
+}
