--- a/test/store-client-test.cc
+++ b/test/store-client-test.cc
@@ -11,6 +11,7 @@
 #include "fulmarpitch/fakes/platform-store.h"
 #include "fulmarpitch/net/link-pool.h"
 #include "fulmarpitch/soak/fault-proxy.h"
+#include "scripted-target.h"
 
 using namespace fulmar;
 using namespace fulmar::serving;
@@ -21,6 +22,18 @@
 
 constexpr auto tick_period = std::chrono::milliseconds(5);
 
+template <typename T>
+T run_until_done(event_loop& loop, task<T> work) {
+  auto out = std::optional<T>();
+  asio::co_spawn(io_of(loop), std::move(work),
+                 [&](const std::exception_ptr& fault, T result) {
+                   if (!fault) out = std::move(result);
+                   loop.stop();
+                 });
+  loop.run();
+  return std::move(*out);
+}
+
 /// A store client behind a proxy, with the daemon's pool of connections.
 struct store_path {
   event_loop loop;
@@ -58,14 +71,7 @@
 
   template <typename T>
   T wait_for(task<T> work) {
-    auto out = std::optional<T>();
-    asio::co_spawn(io_of(loop), std::move(work),
-                   [&](const std::exception_ptr& fault, T result) {
-                     if (!fault) out = std::move(result);
-                     loop.stop();
-                   });
-    loop.run();
-    return std::move(*out);
+    return run_until_done(loop, std::move(work));
   }
 
   /// Opens connections by as many calls at a time, and leaves them idle.
@@ -134,3 +140,50 @@
   for (const auto* key : {"b", "c", "d"})
     CHECK(it.wait_for(it.store.commit(write(key))).ok());
 }
+
+namespace {
+
+/// A store that answers each call with one status and an empty page.
+struct odd_store {
+  event_loop loop;
+  scripted_target peer;
+  link_pool links{io_of(loop), {}};
+  platform::store_call_counts counts;
+  row_store store;
+
+  explicit odd_store(int status)
+      : peer(loop,
+             [status](const auto&) {
+               return scripted_answer{
+                   .bytes = concat("HTTP/1.1 ", status, " Any\r\n",
+                                   "Content-Length: 2\r\n\r\n{}")};
+             }),
+        store(platform::connect_store(links, {.address = peer.address()},
+                                      counts)) {}
+
+  template <typename T>
+  T wait_for(task<T> work) {
+    return run_until_done(loop, std::move(work));
+  }
+};
+
+}  // namespace
+
+// A commit that got 410 counted as done.
+TEST_CASE("a status that does not answer a call is no success") {
+  auto status = GENERATE(302, 404, 410, 412, 500);
+  CAPTURE(status);
+  auto& it = *new odd_store(status);
+  CHECK_FALSE(it.wait_for(it.store.read({.table = "t"})).ok());
+  CHECK_FALSE(it.wait_for(it.store.parts("t")).ok());
+  CHECK_FALSE(it.wait_for(it.store.get_object("o")).ok());
+  auto committed = it.wait_for(it.store.commit(write("a")));
+  CHECK(committed.ok() == (status == 412));
+  if (committed.ok()) CHECK_FALSE(committed->committed);
+  CHECK(it.wait_for(it.store.put_object("o", "x")).ok() == (status == 412));
+  CHECK(it.wait_for(it.store.drop_object("o")).ok() == (status == 404));
+  auto changes = it.wait_for(it.store.changes("t", 1, instant{}));
+  CHECK_FALSE(changes.ok());
+  CHECK((code_of(changes.status()) == error_code::not_found) ==
+        (status == 410));
+}
