--- a/include/fulmarpitch/net/http-link.h
+++ b/include/fulmarpitch/net/http-link.h
@@ -122,9 +122,6 @@
   ///     that an earlier answer may come once more.
   bool was_used_before() const { return exchanges_ > 1; }
 
-  /// \return when the last request was sent, on the steady clock.
-  instant sent_at() const { return sent_at_; }
-
   /// Records that the other side refused a request. A faulty one may repeat the
   /// refusal later, when it would be taken for the answer to a retry.
   void note_refusal(std::string_view request_id);
--- a/src/net/http-client.cc
+++ b/src/net/http-client.cc
@@ -17,7 +17,6 @@
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
-using asio::ip::tcp;
 
 namespace fulmar {
 namespace {
