--- a/src/net/http-client.cc
+++ b/src/net/http-client.cc
@@ -14,7 +14,6 @@
 #include "fulmarpitch/core/text.h"
 #include "fulmarpitch/net/http.h"
 
-namespace asio = boost::asio;
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
