Withdraw an item that online requests wait behind after 4.8 s

A waiting online request stops one item that has output; nothing took the one without output away sooner. Found by reading.

Change: an item without output that has waited for over 4.8 s is withdrawn if an online request of this daemon, sent later to the same target, waits too long. Items that nobody waits behind keep their limit, so a long prompt still gets a run that is long enough.

slot-waits-test failed 1 of 11 tests without the change ("an item that online requests wait behind is withdrawn sooner"); all hold now.

--- a/include/fulmarpitch/serving/slot-waits.h
+++ b/include/fulmarpitch/serving/slot-waits.h
@@ -55,6 +55,9 @@
   /// A queued item delays every online request behind it, but withdrawing it
   /// costs a connection. Extended for items that were cut off before.
   instant max_batch_wait = std::chrono::milliseconds(300);
+  /// Upper bound of the extended limit while an online request of this daemon
+  /// waits behind the item.
+  instant max_batch_wait_before_online = std::chrono::milliseconds(4800);
 };
 
 /// Finds the targets at which one of these requests has waited too long.
@@ -80,7 +83,8 @@
 /// The batch items to stop so that waiting requests get slots. All members are
 /// indices into the list of requests.
 struct preemption_plan {
-  /// Batch items that are withdrawn from a target's queue.
+  /// Batch items without output that have waited too long at a target, or for
+  /// long with an online request behind them.
   std::vector<std::size_t> withdrawn;
   /// Batch items that are preempted because an online request waits for a slot.
   std::vector<std::size_t> preempted;
--- a/src/serving/slot-waits.cc
+++ b/src/serving/slot-waits.cc
@@ -19,6 +19,21 @@
   return !it.has_output && now - it.sent > max_wait;
 }
 
+/// \return whether `uses[n]`, a batch item without output, has waited long at a
+///     target where an online request behind it waits too long.
+bool delays_online(std::span<const slot_use> uses, std::size_t n, instant now,
+                   const slot_wait_options& options) {
+  const auto& item = uses[n];
+  if (item.has_output ||
+      now - item.sent <= options.max_batch_wait_before_online)
+    return false;
+  auto later = uses.subspan(n + 1);
+  return std::any_of(later.begin(), later.end(), [&](const slot_use& it) {
+    return it.kind == work_kind::online && it.target == item.target &&
+           waited_too_long(it, now, options);
+  });
+}
+
 /// Finds the newest batch item that holds a slot at a target and is not in
 /// `taken`.
 std::optional<std::size_t> newest_item(std::span<const slot_use> uses,
@@ -59,12 +74,13 @@
   auto out = preemption_plan();
   for (auto n = std::size_t{0}; n < uses.size(); ++n) {
     const auto& it = uses[n];
-    if (!waited_too_long(it, now, options)) continue;
+    auto is_late = waited_too_long(it, now, options);
     if (it.kind == work_kind::batch) {
-      out.withdrawn.push_back(n);
+      if (is_late || delays_online(uses, n, now, options))
+        out.withdrawn.push_back(n);
       continue;
     }
-    if (it.has_preempted) continue;
+    if (!is_late || it.has_preempted) continue;
     auto item = newest_item(uses, it.target, out.preempted);
     if (!item) continue;
     out.preempted.push_back(*item);
--- a/test/slot-waits-test.cc
+++ b/test/slot-waits-test.cc
@@ -78,6 +78,33 @@
   CHECK(plan_preemptions(std::vector{again}, now).withdrawn.size() == 1);
 }
 
+// Guards against online requests that wait behind an item for as long as its
+// extended limit allows.
+TEST_CASE("an item that online requests wait behind is withdrawn sooner") {
+  auto item = batch(1, 4'801ms, false);
+  item.cut_count = 8;
+  auto withdrawn = [&](std::vector<slot_use> later) {
+    later.insert(later.begin(), item);
+    return plan_preemptions(later, now).withdrawn;
+  };
+  CHECK(withdrawn({online(1, 151ms)}) == std::vector<std::size_t>{0});
+  CHECK(withdrawn({}).empty());
+  CHECK(withdrawn({online(1, 150ms)}).empty());
+  CHECK(withdrawn({online(2, 151ms)}).empty());
+  auto holder = online(1, 151ms);
+  holder.has_output = true;
+  CHECK(withdrawn({holder, batch(1, 400ms)}).empty());
+  item.sent = now - 4'800ms;
+  CHECK(withdrawn({online(1, 151ms)}).empty());
+}
+
+TEST_CASE("an item does not wait for online requests sent before it") {
+  auto item = batch(1, 4'801ms, false);
+  item.cut_count = 8;
+  auto uses = std::vector{online(1, 5s), item};
+  CHECK(plan_preemptions(uses, now).withdrawn.empty());
+}
+
 TEST_CASE("the limit on a stream without events doubles, too") {
   CHECK(is_stalled(0s, 10'001ms));
   CHECK_FALSE(is_stalled(0s, 20s, 1));
