--- a/include/fulmarpitch/core/types.h
+++ b/include/fulmarpitch/core/types.h
@@ -6,7 +6,9 @@
 #include <array>
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -18,6 +20,9 @@
 /// epoch, virtual-time runs count from zero.
 using instant = std::chrono::microseconds;
 
+/// Services by name.
+using service_names = std::set<std::string, std::less<>>;
+
 /// One value of an enumeration with its spelling.
 template <typename E>
 using named = std::pair<E, std::string_view>;
--- a/include/fulmarpitch/serving/item-starts.h
+++ b/include/fulmarpitch/serving/item-starts.h
@@ -6,7 +6,6 @@
 /// no other.
 
 #include <functional>
-#include <set>
 #include <string>
 #include <string_view>
 
@@ -27,9 +26,6 @@
   no_room,
 };
 
-/// Services by name.
-using service_names = std::set<std::string, std::less<>>;
-
 /// How items are started.
 struct item_starter {
   /// Selects the service that runs an item; empty if there is none.
--- a/include/fulmarpitch/serving/late-queue.h
+++ b/include/fulmarpitch/serving/late-queue.h
@@ -104,7 +104,7 @@
 };
 
 /// \return the services for which late requests are held.
-std::set<std::string, std::less<>> services_waited_for(const late_queue& queue);
+service_names services_waited_for(const late_queue& queue);
 
 /// \return the requests to a service that were held and run now.
 std::uint32_t count_running(const late_queue& queue, std::string_view service);
--- a/src/serving/late-queue.cc
+++ b/src/serving/late-queue.cc
@@ -86,9 +86,8 @@
   return static_cast<std::uint32_t>(std::max(slots - needed, 1.0));
 }
 
-std::set<std::string, std::less<>> services_waited_for(
-    const late_queue& queue) {
-  auto out = std::set<std::string, std::less<>>();
+service_names services_waited_for(const late_queue& queue) {
+  auto out = service_names();
   for (const auto& [line, requests] : queue.waiting)
     out.insert(line.service);
   return out;
