Keep what the store client's tests create until the process ends

The sanitizers reported store-client-test: its objects were created by new, and the pointers were lost with each test, so that the frames of suspended coroutines counted as leaked. They are kept in a list now, like the daemons of serving-fixture.h; no check has changed.

store-client-test failed under the sanitizers before (all checks held, 1 report of leaks) and passes now.

--- a/test/store-client-test.cc
+++ b/test/store-client-test.cc
@@ -3,6 +3,7 @@
 #include "platform/store-client.h"
 
 #include <catch2/catch.hpp>
+#include <deque>
 #include <optional>
 #include <string>
 #include <utility>
@@ -34,6 +35,14 @@
   return std::move(*out);
 }
 
+/// Creates an object that lives as long as the process, because suspended
+/// coroutines hold references to it.
+template <typename T, typename... Args>
+T& make_kept(Args... args) {
+  static auto* all = new std::deque<T>();
+  return all->emplace_back(args...);
+}
+
 /// A store client behind a proxy, with the daemon's pool of connections.
 struct store_path {
   event_loop loop;
@@ -102,7 +111,7 @@
 // Each idle connection used to cost a timeout, so that a daemon had no store
 // for as long as the pool lasted.
 TEST_CASE("reads go on when the open connections fall silent") {
-  auto& it = *new store_path();
+  auto& it = make_kept<store_path>();
   it.open_links(16);
   it.proxy.set(link_fault::silenced);
   for (auto n = 0; n < 4; ++n)
@@ -111,7 +120,7 @@
 }
 
 TEST_CASE("a wait for changes goes on when the open connections fall silent") {
-  auto& it = *new store_path();
+  auto& it = make_kept<store_path>();
   it.open_links(16);
   it.proxy.set(link_fault::silenced);
   auto page = it.wait_for(it.store.changes("t", 0, instant{}));
@@ -120,7 +129,7 @@
 }
 
 TEST_CASE("an object is read when the open connections fall silent") {
-  auto& it = *new store_path();
+  auto& it = make_kept<store_path>();
   REQUIRE(it.wait_for(put(it.store)));
   it.open_links(16);
   it.proxy.set(link_fault::silenced);
@@ -130,7 +139,7 @@
 }
 
 TEST_CASE("one write at most fails when the open connections fall silent") {
-  auto& it = *new store_path();
+  auto& it = make_kept<store_path>();
   it.open_links(16);
   it.proxy.set(link_fault::silenced);
   auto first = it.wait_for(it.store.commit(write("a")));
@@ -173,7 +182,7 @@
 TEST_CASE("a status that does not answer a call is no success") {
   auto status = GENERATE(302, 404, 410, 412, 500);
   CAPTURE(status);
-  auto& it = *new odd_store(status);
+  auto& it = make_kept<odd_store>(status);
   CHECK_FALSE(it.wait_for(it.store.read({.table = "t"})).ok());
   CHECK_FALSE(it.wait_for(it.store.parts("t")).ok());
   CHECK_FALSE(it.wait_for(it.store.get_object("o")).ok());
