Let the soak tell a job that a lost call ended from one that is lost

Cause: a caller of the soak ends a job and takes it as ended only if the answer is 200. By the logs the daemon that got the call passed it on and had no answer after 1.2 s; the other daemon ended the job 1.6 s after the call began, and the caller was not told. That call's outcome was unknown, and an ended job owes no results.

Change: where a call to end a job was sent and got no whole answer, or 504, the store's row decides at the end whether the job has ended. If it hasn't, the job must be complete as before; so it must after any other answer, and after a call that could not connect.

--- a/include/fulmarpitch/soak/ledger.h
+++ b/include/fulmarpitch/soak/ledger.h
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -64,6 +65,10 @@
   bool refused_always = true;
   /// When its end was acknowledged; zero while it is open.
   instant ended{};
+  /// A call to end it got no answer that tells what became of it.
+  bool may_have_ended = false;
+  /// Such a call did end it.
+  bool has_ended_unseen = false;
 };
 
 /// Everything that was seen.
@@ -116,6 +121,15 @@
 void note_results(ledger& it, const std::string& job, std::size_t from,
                   const std::vector<std::string>& ids);
 
+/// Finds out which of the jobs that may have ended did.
+/// \param it the ledger.
+/// \param is_ended whether the store holds a job as ended.
+void resolve_unknown_ends(
+    ledger& it, const std::function<bool(const std::string&)>& is_ended);
+
+/// \return whether a job owes its caller no more results.
+bool is_settled(const job_view& job);
+
 /// Checks what only the end of a run shows.
 void check_end(ledger& it);
 
--- a/src/soak/ledger.cc
+++ b/src/soak/ledger.cc
@@ -58,10 +58,21 @@
   }
 }
 
+void resolve_unknown_ends(
+    ledger& it, const std::function<bool(const std::string&)>& is_ended) {
+  for (auto& [id, job] : it.jobs) {
+    if (job.may_have_ended && is_ended(id)) job.has_ended_unseen = true;
+  }
+}
+
+bool is_settled(const job_view& job) {
+  return !job.accepted || job.ended.count() > 0 || job.has_ended_unseen ||
+         job.positions.size() >= job.items.size();
+}
+
 void check_end(ledger& it) {
   for (const auto& [id, job] : it.jobs) {
-    if (job.accepted && job.ended.count() == 0 &&
-        job.positions.size() < job.items.size()) {
+    if (!is_settled(job)) {
       note(it, promise::job_completes,
            concat("job ", id, " has ", job.positions.size(), " of ",
                   job.items.size(), " results"));
--- a/src/soak/soak-run.cc
+++ b/src/soak/soak-run.cc
@@ -16,6 +16,7 @@
 #include "fulmarpitch/core/text.h"
 #include "fulmarpitch/fakes/platform-store.h"
 #include "fulmarpitch/net/link-pool.h"
+#include "fulmarpitch/serving/jobs.h"
 #include "fulmarpitch/soak/child.h"
 #include "fulmarpitch/soak/fault-proxy.h"
 #include "fulmarpitch/soak/soak-target.h"
@@ -341,6 +342,11 @@
   return it.complete && (it.status == 503 || it.status == 429);
 }
 
+/// \return whether the call may have been carried out.
+bool is_outcome_unknown(const call_result& it) {
+  return it.connected && (!it.complete || it.status == 504);
+}
+
 /// Counts callers that are under way.
 class busy_mark {
  public:
@@ -568,6 +574,8 @@
       auto got = co_await call(it, any_daemon(it), std::move(request));
       if (got.complete && got.status == 200)
         it.report.seen.jobs[job].ended = event_loop::steady();
+      if (is_outcome_unknown(got))
+        it.report.seen.jobs[job].may_have_ended = true;
     }
     for (auto n = 0; accepted && n < 3 && !it.callers_stop; ++n) {
       co_await pause_for(it.draw_time(100, 600));
@@ -780,13 +788,21 @@
   }
 }
 
-bool all_jobs_complete(const run_state& it) {
-  const auto& jobs = it.report.seen.jobs;
-  return std::all_of(jobs.begin(), jobs.end(), [](const auto& row) {
-    const auto& job = row.second;
-    return !job.accepted || job.ended.count() > 0 ||
-           job.positions.size() >= job.items.size();
+/// \return whether the store holds a job as ended.
+bool is_stored_as_ended(const run_state& it, const std::string& job) {
+  auto name = serving::job_row_name({.id = job, .host = "h"});
+  auto row = serving::decode_job(
+      {.name = name, .value = it.store.value(name.table, name.part, name.key)});
+  return row.ok() && row->ended;
+}
+
+bool all_jobs_complete(run_state& it) {
+  resolve_unknown_ends(it.report.seen, [&](const std::string& job) {
+    return is_stored_as_ended(it, job);
   });
+  const auto& jobs = it.report.seen.jobs;
+  return std::all_of(jobs.begin(), jobs.end(),
+                     [](const auto& row) { return is_settled(row.second); });
 }
 
 task<void> conduct(run_state& it) {
--- a/test/soak-ledger-test.cc
+++ b/test/soak-ledger-test.cc
@@ -84,3 +84,17 @@
   check_end(refused);
   CHECK(broke(refused, promise::not_run_is_true));
 }
+
+// A caller whose call to end a job was lost can't tell whether the job goes on.
+TEST_CASE("a job must complete unless a call to end it took effect") {
+  auto with_end = [](bool may_have_ended, bool is_ended) {
+    auto it = with_job();
+    it.jobs["j"].may_have_ended = may_have_ended;
+    resolve_unknown_ends(it, [&](const auto&) { return is_ended; });
+    check_end(it);
+    return it;
+  };
+  CHECK_FALSE(broke(with_end(true, true), promise::job_completes));
+  CHECK(broke(with_end(true, false), promise::job_completes));
+  CHECK(broke(with_end(false, true), promise::job_completes));
+}
