--- a/review/standins-3/quota-case.cc
+++ b/review/standins-3/quota-case.cc
@@ -110,10 +110,12 @@
       b.loop, review::server_options{
                   .id = "i-0", .slots = 8, .events = 125, .event_time = 400ms});
   server.on_done = [&it](const std::string& id) { it.finished.insert(id); };
-  b.put_server("i-0", "s", server.address(), "a", 8);
+  b.put_server("i-0", "s", server.address(), "b", 8);
   b.put_configuration(configuration());
+  // The frozen machine is the only one of its data centre: those of one data
+  // centre send each other the changes that they read, also to a frozen one.
   for (auto n = 0; n < machine_count; ++n)
-    b.add_machine("a", 160);
+    b.add_machine(n == 0 ? "a" : (n % 2 == 0 ? "b" : "c"), 160);
   for (auto& row : b.machines)
     b.start(row);
   for (auto& row : b.machines) {
