--- a/review/standins-3/memory-case.cc
+++ b/review/standins-3/memory-case.cc
@@ -172,12 +172,14 @@
         b.loop,
         review::server_options{
             .id = id, .slots = slots, .events = 10, .event_time = 200ms});
-    row.on_run = [&it](const review::begun_run& run) {
+    row.on_run = [&it, id](const review::begun_run& run) {
       auto now = fulmar::event_loop::steady();
+      it.bench.note(concat("server ", id, " runs ", run.id));
       it.begun[run.id] = now;
       if (it.begun.size() * 2 >= servers * slots) it.last_half_full = now;
     };
     row.on_done = [&it](const std::string& id) {
+      it.bench.note(concat(id, " is finished"));
       it.begun.erase(id);
       it.finished.insert(id);
       it.last_finish = it.last_stay = fulmar::event_loop::steady();
--- a/review/standins-3/quota-case.cc
+++ b/review/standins-3/quota-case.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <utility>
 
 #include "fulmarpitch/core/text.h"
 #include "harness.h"
@@ -29,6 +30,9 @@
 constexpr auto freeze_time = 3500ms;
 constexpr auto machine_count = 9;
 
+/// Freezes, one after the other, until the rule is broken.
+constexpr auto rounds = 3;
+
 /// Batch jobs that come to the machine shortly before it wakes, and when. A
 /// client waits for a second for its request to be read.
 constexpr std::uint32_t late_jobs = 4;
@@ -56,6 +60,7 @@
   std::set<std::string> finished;
   /// Accepted items and batch jobs.
   std::set<std::string> accepted;
+  std::vector<std::string> accepted_jobs;
   std::uint32_t jobs = 0;
   std::uint32_t open_calls = 0;
 };
@@ -93,6 +98,7 @@
   b.note(concat("batch job ", id, " at ", to.name, ": ", got.status));
   --it.open_calls;
   if (got.status != 202) co_return;
+  it.accepted_jobs.push_back(id);
   for (const auto& row : items)
     it.accepted.insert(row.id);
   judge(it);
@@ -103,26 +109,23 @@
                         fulmar::report_failure);
 }
 
-task<bool> play(state& it) {
+/// Ends all accepted batch jobs, so that their tokens wait no more.
+task<void> end_all(state& it) {
   auto& b = it.bench;
-  // An item takes 50 s: few end while the case runs.
-  auto& server = it.servers.emplace_back(
-      b.loop, review::server_options{
-                  .id = "i-0", .slots = 8, .events = 125, .event_time = 400ms});
-  server.on_done = [&it](const std::string& id) { it.finished.insert(id); };
-  b.put_server("i-0", "s", server.address(), "b", 8);
-  b.put_configuration(configuration());
-  // The frozen machine is the only one of its data centre: those of one data
-  // centre send each other the changes that they read, also to a frozen one.
-  for (auto n = 0; n < machine_count; ++n)
-    b.add_machine(n == 0 ? "a" : (n % 2 == 0 ? "b" : "c"), 160);
-  for (auto& row : b.machines)
-    b.start(row);
-  for (auto& row : b.machines) {
-    auto ready = co_await b.wait_ready(row, 5s);
-    if (!ready) co_return false;
+  for (const auto& id : std::exchange(it.accepted_jobs, {})) {
+    auto what = review::outgoing{.method = "DELETE",
+                                 .path = concat("/v1/lots/", id),
+                                 .headers = {{"X-Api-Key", "key-a"}}};
+    auto got = co_await b.call(b.machines.back().front(), std::move(what));
+    b.note(concat("the end of batch job ", id, " is answered ", got.status));
   }
+  it.accepted.clear();
   co_await fulmar::pause_for(4s);
+}
+
+/// Fills the limit while a machine stands still, and hands in more there.
+task<void> play_round(state& it) {
+  auto& b = it.bench;
   auto& first = b.machines.front();
   // A machine follows the batch jobs by calls that wait for a change for 0.7 s,
   // with pauses of 0.3 s; this one freezes while such a call waits, as it does
@@ -155,6 +158,35 @@
   }
   for (auto n = 0; n < 60 && it.open_calls > 0; ++n)
     co_await fulmar::pause_for(100ms);
+}
+
+task<bool> play(state& it) {
+  auto& b = it.bench;
+  // An item takes 50 s: few end while the case runs.
+  auto& server = it.servers.emplace_back(
+      b.loop, review::server_options{
+                  .id = "i-0", .slots = 8, .events = 125, .event_time = 400ms});
+  server.on_done = [&it](const std::string& id) { it.finished.insert(id); };
+  server.on_run = [&b](const review::begun_run& run) {
+    b.note(concat("server i-0 runs ", run.id));
+  };
+  b.put_server("i-0", "s", server.address(), "b", 8);
+  b.put_configuration(configuration());
+  // The frozen machine is the only one of its data centre: those of one data
+  // centre send each other the changes that they read, also to a frozen one.
+  for (auto n = 0; n < machine_count; ++n)
+    b.add_machine(n == 0 ? "a" : (n % 2 == 0 ? "b" : "c"), 160);
+  for (auto& row : b.machines)
+    b.start(row);
+  for (auto& row : b.machines) {
+    auto ready = co_await b.wait_ready(row, 5s);
+    if (!ready) co_return false;
+  }
+  co_await fulmar::pause_for(4s);
+  for (auto n = 0; n < rounds && !b.is_broken(); ++n) {
+    if (n > 0) co_await end_all(it);
+    co_await play_round(it);
+  }
   co_return true;
 }
 
